--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  ...neostandard({ ts: true, ignores: ['dist/**', 'node_modules/**'] }),
+  ...neostandard({ ts: true, ignores: ['dist/**', 'target/**', 'node_modules/**'] }),
   {
     files: ['**/*.ts'],
     rules: {
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -22,12 +22,13 @@
   return existsSync(binary) && statSync(binary).mtimeMs > Math.max(newest('src'), statSync('package.json').mtimeMs)
 }
 
-if (!(process.argv.includes('--if-stale') && isFresh())) {
-  const { version } = JSON.parse(readFileSync('package.json', 'utf8'))
-  mkdirSync('dist', { recursive: true })
+const { version } = JSON.parse(readFileSync('package.json', 'utf8'))
+
+/** Bundles a program with all that it imports into one file. */
+async function bundleProgram (entryPoint, outfile) {
   await build({
-    entryPoints: ['src/cli/index.ts'],
-    outfile: bundle,
+    entryPoints: [entryPoint],
+    outfile,
     bundle: true,
     platform: 'node',
     target: 'node20',
@@ -36,6 +37,15 @@
     define: { 'process.env.DOGWOODSPRING_VERSION': JSON.stringify(version) },
     logLevel: 'warning'
   })
+}
+
+if (process.argv.includes('--platform')) {
+  mkdirSync('target', { recursive: true })
+  await bundleProgram('platform/main.ts', 'target/dogwoodspring.cjs')
+  console.log(`built target/dogwoodspring.cjs ${version}`)
+} else if (!(process.argv.includes('--if-stale') && isFresh())) {
+  mkdirSync('dist', { recursive: true })
+  await bundleProgram('src/cli/index.ts', bundle)
   writeFileSync('dist/sea.json', JSON.stringify({
     main: bundle,
     output: 'dist/sea.blob',
--- a/src/cli/control/index.ts
+++ b/src/cli/control/index.ts
@@ -18,6 +18,9 @@
   data = flag('data')
   members = flag('members')
   join = flag('join')
+  autoMembers = flag('autoMembers')
+  bootstrap = flag('bootstrap')
+  claims = flag('claims')
   seeds = flag('seeds')
   secrets = flag('secrets')
   operatorToken = flag('operatorToken')
@@ -25,7 +28,7 @@
 
   async execute (): Promise<number> {
     const options = checkSettings(
-      ['id', 'domain', 'peer', 'admin', 'data', 'members', 'join', 'seeds', 'secrets', 'operatorToken', 'jsonLog'], this)
+      ['id', 'domain', 'peer', 'admin', 'data', 'members', 'join', 'autoMembers', 'bootstrap', 'claims', 'seeds', 'secrets', 'operatorToken', 'jsonLog'], this)
     if (options === undefined) return usageExitCode
     const { startControl } = await import('../../core/control/index.ts')
     const { loadHash } = await import('../../core/hash/index.ts')
--- a/src/core/admission/constants.ts
+++ b/src/core/admission/constants.ts
@@ -13,6 +13,9 @@
 /** Shortest queue, in requests. */
 export const minQueue = 8
 
+/** Weight of a new sample in the typical time of a kind. */
+export const typicalWeight = 0.05
+
 /** Time between two adjustments of the concurrency limit, in milliseconds. */
 export const windowMs = 100
 
--- a/src/core/admission/limit.ts
+++ b/src/core/admission/limit.ts
@@ -8,6 +8,8 @@
   slots: number
   /** Latency that the target has when it is not crowded, in ms. */
   floorMs: number
+  /** Whether the limit is learnt; otherwise it is the slots. */
+  learns: boolean
   /** True until the limit first met resistance or reached the slots. */
   cold: boolean
   /** A lowered limit under trial: whether fewer requests at once make each of them faster. */
@@ -36,11 +38,17 @@
 /** Creates the limit of a target that has just started. */
 export function createLimit (slots: number, now: number): Limit {
   const value = Math.max(1, Math.floor(slots * coldPart))
-  return { value, slots, floorMs: Infinity, cold: true, wasHigh: false, windowAt: now, windowLengthMs: windowMs, sumMs: 0, samples: 0, failures: 0, peak: 0 }
+  return { value, slots, learns: true, floorMs: Infinity, cold: true, wasHigh: false, windowAt: now, windowLengthMs: windowMs, sumMs: 0, samples: 0, failures: 0, peak: 0 }
+}
+
+/** Creates a limit that stays at the slots, for targets that serve as many requests at once as they announce. */
+export function createFixedLimit (slots: number, now: number): Limit {
+  return { ...createLimit(slots, now), value: slots, learns: false, cold: false }
 }
 
 /** Takes in one sample and adjusts the limit at the end of each window. */
 export function recordSample (limit: Limit, sample: Sample, now: number): void {
+  if (!limit.learns) return
   limit.samples++
   limit.peak = Math.max(limit.peak, sample.running)
   if (sample.failed) limit.failures++
--- a/src/core/admission/queue.ts
+++ b/src/core/admission/queue.ts
@@ -1,10 +1,12 @@
-import { calmWaitMs, minQueue, overloadAfterMs, overloadWaitMs, queuePerSlot } from './constants.ts'
-import { createLimit, recordSample } from './limit.ts'
+import { calmWaitMs, minQueue, overloadAfterMs, overloadWaitMs, queuePerSlot, typicalWeight } from './constants.ts'
+import { createFixedLimit, createLimit, recordSample } from './limit.ts'
 import type { Limit, Sample } from './limit.ts'
 
 /** A request that asks to run at a target. */
 export interface Entry {
   id: string
+  /** Requests of one kind take about the same time at the target. */
+  kind: string
   /** 0 is shed last. */
   priority: number
   /** Workspace, or an empty text for routes open to all. */
@@ -33,13 +35,13 @@
   virtualTime: number
   /** Last time at which the queue was empty. */
   emptyAt: number
-  /** Typical time of a request at the target, in ms. */
-  typicalMs: number
+  /** Typical time of a request at the target in ms, by kind. */
+  typicalMs: Map<string, number>
 }
 
-/** Creates the admission of a target with `slots` that has just started. */
-export function createAdmission (slots: number, now: number): Admission {
-  return { limit: createLimit(slots, now), running: 0, queue: [], served: new Map(), virtualTime: 0, emptyAt: now, typicalMs: 0 }
+/** Creates the admission of a target with `slots` that has just started. With `learns`, fewer than the slots may run at once. */
+export function createAdmission (slots: number, now: number, learns = true): Admission {
+  return { limit: learns ? createLimit(slots, now) : createFixedLimit(slots, now), running: 0, queue: [], served: new Map(), virtualTime: 0, emptyAt: now, typicalMs: new Map() }
 }
 
 /** Requests that run or wait, over what may run. */
@@ -67,12 +69,22 @@
   return decision
 }
 
+/** A request that ended at the target. */
+export interface FinishedRequest extends Omit<Sample, 'running'> {
+  kind: string
+}
+
+function learnTypical ({ typicalMs }: Admission, { kind, latencyMs }: FinishedRequest): void {
+  const known = typicalMs.get(kind) ?? 0
+  typicalMs.set(kind, known + typicalWeight * (latencyMs - known))
+}
+
 /** A request finished. `sample` is missing when it never reached the target. */
-export function finish (admission: Admission, sample: Omit<Sample, 'running'> | undefined, now: number): Decision {
+export function finish (admission: Admission, sample: FinishedRequest | undefined, now: number): Decision {
   const decision: Decision = { started: [], shed: [] }
   if (sample !== undefined) {
     recordSample(admission.limit, { ...sample, running: admission.running }, now)
-    if (!sample.failed) admission.typicalMs += 0.05 * (sample.latencyMs - admission.typicalMs)
+    if (!sample.failed) learnTypical(admission, sample)
   }
   admission.running--
   startNext(admission, now, decision)
@@ -94,7 +106,7 @@
 }
 
 function canFinish (admission: Admission, entry: Entry, now: number): boolean {
-  return entry.deadlineAt - now > admission.typicalMs
+  return entry.deadlineAt - now > (admission.typicalMs.get(entry.kind) ?? 0)
 }
 
 function shedLate (admission: Admission, now: number, decision: Decision): void {
--- a/src/core/bench/product.ts
+++ b/src/core/bench/product.ts
@@ -92,7 +92,7 @@
         const job = runAt(world, target, request, position, below, (result) => {
           const latencyMs = timeline.now() - startedAt - childMs
           const failed = result.type === 'failed' && !result.shed && position === scenario.chain.length - 1
-          carryOut(place, finish(place.admission, { latencyMs, failed }, timeline.now()))
+          carryOut(place, finish(place.admission, { kind: target.service, latencyMs, failed }, timeline.now()))
           if (result.type === 'failed' && result.crashed === true) noteCrash(place, request)
           done(result)
         })
@@ -102,7 +102,7 @@
       }
     })
     const { priority, workspace, deadlineAt } = request
-    carryOut(place, offer(place.admission, { id, priority, workspace, weight: 1, arrivedAt: timeline.now(), deadlineAt }, timeline.now()))
+    carryOut(place, offer(place.admission, { id, kind: target.service, priority, workspace, weight: 1, arrivedAt: timeline.now(), deadlineAt }, timeline.now()))
   }
   const noteCrash = (place: Place, request: Request) => {
     place.admission = { ...createAdmission(place.target.slots, timeline.now()), running: place.admission.running, queue: place.admission.queue }
--- a/src/core/config/index.ts
+++ b/src/core/config/index.ts
@@ -1,4 +1,6 @@
-export { applyDeltas, emptyConfiguration, newer } from './replica.ts'
+export { applyDeltas, dropSuperseded, emptyConfiguration, newer } from './replica.ts'
+export { limitedWorkspaces, limitOf } from './limits.ts'
+export type { RateLimit } from './limits.ts'
 export { createRouteTable, parametersOf } from './routes.ts'
 export type { EffectiveParameters, EffectiveRoute, RouteTable } from './routes.ts'
 export { changeSchema, check, priorities, scopes, templateSchema, workspaceSchema } from './schema.ts'
--- a/src/core/config/replica.ts
+++ b/src/core/config/replica.ts
@@ -2,7 +2,7 @@
 
 /** Creates an empty configuration. */
 export function emptyConfiguration (): Configuration {
-  return { revision: 0, templates: {}, workspaces: {}, keys: {}, slots: {}, bans: {} }
+  return { revision: 0, templates: {}, workspaces: {}, keys: {}, slots: {}, bans: {}, deployments: {} }
 }
 
 /**
@@ -30,6 +30,19 @@
   return next
 }
 
+/**
+ * Drops from each delta what a later one replaces as a whole. Deltas are applied in runs, so that only
+ * the last deployment of a run counts, and old ones may be large.
+ */
+export function dropSuperseded (deltas: Delta[]): Delta[] {
+  const last = deltas.findLastIndex(({ differences }) => differences.some(({ collection }) => collection === 'deployments'))
+  return deltas.map((delta, index) => {
+    if (index >= last) return delta
+    const differences = delta.differences.filter(({ collection }) => collection !== 'deployments')
+    return differences.length === delta.differences.length ? delta : { ...delta, differences }
+  })
+}
+
 /** Returns the newer of two configurations. */
 export function newer (left: Configuration, right: Configuration): Configuration {
   return right.revision > left.revision ? right : left
--- a/src/core/config/routes.ts
+++ b/src/core/config/routes.ts
@@ -1,5 +1,6 @@
 import { addRoute, createRouter, findRoute } from 'rou3'
-import type { Priority, Route, Template, Workspace } from './schema.ts'
+import { priorities } from './schema.ts'
+import type { Route, Template, Workspace } from './schema.ts'
 import type { Configuration } from './types.ts'
 
 /** A route as it holds for one workspace. */
@@ -7,10 +8,13 @@
   template: string
   name: string
   service: string
-  priority: Priority
+  /** 0 is shed last. */
+  priority: number
   idempotent: boolean
   open: boolean
   timeoutMs: number
+  /** Targets that one request may be sent to; missing where the workspace's retry budget decides. */
+  maxAttempts?: number
 }
 
 /** Parameters of a workspace after defaults. */
@@ -37,7 +41,7 @@
     template: templateName,
     name: route.name,
     service: route.service,
-    priority: workspace?.priorities[route.name] ?? route.priority,
+    priority: priorities.indexOf(workspace?.priorities[route.name] ?? route.priority),
     idempotent: repeatable && !(workspace?.nonIdempotent.includes(route.name) ?? false),
     open: route.open,
     timeoutMs: route.timeoutMs
--- a/src/core/config/schema.ts
+++ b/src/core/config/schema.ts
@@ -1,4 +1,5 @@
 import * as v from 'valibot'
+import { deploymentSchema } from '../deployment/index.ts'
 
 /** False for the names of inherited properties, which cannot be keys of a record. */
 const isOwnName = (text: string) => !(text in {})
@@ -96,7 +97,16 @@
   v.strictObject({ ...base, kind: v.literal('key-withdraw'), name }),
   v.strictObject({ ...base, kind: v.literal('operator-give'), name, hash, scopes: v.pipe(v.array(scopeSchema), v.minLength(1)) }),
   v.strictObject({ ...base, kind: v.literal('operator-withdraw'), name }),
-  v.strictObject({ ...base, kind: v.literal('quarantine-release'), name })
+  v.strictObject({ ...base, kind: v.literal('quarantine-release'), name }),
+  /** Replaces the whole configuration; `expectRevision` is the version that it builds on. */
+  v.strictObject({
+    ...base,
+    kind: v.literal('deployment'),
+    name: v.literal('current'),
+    value: deploymentSchema,
+    /** The document as the operator sent it, to be read back. */
+    source: v.string()
+  })
 ])
 
 export type Priority = v.InferOutput<typeof prioritySchema>
--- a/src/core/config/types.ts
+++ b/src/core/config/types.ts
@@ -1,3 +1,4 @@
+import type { Deployment } from '../deployment/index.ts'
 import type { Scope, Template, Workspace } from './schema.ts'
 
 /** A stored item with the revision that last changed it. */
@@ -57,10 +58,12 @@
   keys: Record<string, Key>
   slots: Record<string, ClaimSlot>
   bans: Record<string, Ban>
+  /** The whole configuration of operators who replace it at once, under the name `current`; empty before the first. */
+  deployments: Record<string, Deployment>
 }
 
 /** Collections that are distributed to nodes. */
-export type Collection = 'templates' | 'workspaces' | 'keys' | 'slots' | 'bans'
+export type Collection = 'templates' | 'workspaces' | 'keys' | 'slots' | 'bans' | 'deployments'
 
 /** One item that a revision changed; a missing value removes it. */
 export interface Difference {
--- a/src/core/consensus/core.ts
+++ b/src/core/consensus/core.ts
@@ -19,7 +19,9 @@
     electionAt: 0,
     heartbeatAt: 0,
     leaderHeardAt: now,
-    progress: {}
+    progress: {},
+    round: 0,
+    reads: []
   }
   resetElection(state, now, random)
   return state
@@ -35,6 +37,7 @@
     case 'change-members': onChangeMembers(state, event.id, event.members, now, effects); break
     case 'compact': onCompact(state, event.snapshot, effects); break
     case 'transfer': onTransfer(state, effects); break
+    case 'read': onRead(state, event.id, now, effects); break
   }
   return effects
 }
@@ -109,6 +112,7 @@
 
 function becomeLeader (state: State, now: number, effects: Effect[]): void {
   state.role = 'leader'
+  state.reads = []
   state.leader = state.id
   state.progress = {}
   for (const member of membersOf(state)) {
@@ -118,7 +122,7 @@
 }
 
 function createProgress (next: number, now: number): Progress {
-  return { next, match: 0, ackedAt: now, snapshotUntil: -Infinity }
+  return { next, match: 0, ackedAt: now, round: 0, snapshotUntil: -Infinity }
 }
 
 function becomeFollower (state: State, term: number, leader: string | null, now: number, random: Random, effects: Effect[]): void {
@@ -127,6 +131,7 @@
   state.leader = leader
   state.progress = {}
   state.votes = []
+  refuseReads(state, effects)
   resetElection(state, now, random)
 }
 
@@ -164,7 +169,8 @@
     previousTerm,
     entries: entriesFrom(state, progress.next, maxAppendEntries),
     commit: state.commit,
-    sentAt: now
+    sentAt: now,
+    round: state.round
   }
   effects.push({ type: 'send', to, message })
 }
@@ -172,7 +178,7 @@
 function sendSnapshot (state: State, to: string, progress: Progress, now: number, effects: Effect[]): void {
   if (now < progress.snapshotUntil) return
   progress.snapshotUntil = now + snapshotRetryMs
-  effects.push({ type: 'send', to, message: { type: 'snapshot', term: state.hardState.term, snapshot: state.snapshot, sentAt: now } })
+  effects.push({ type: 'send', to, message: { type: 'snapshot', term: state.hardState.term, snapshot: state.snapshot, sentAt: now, round: state.round } })
 }
 
 function onMessage (state: State, from: string, message: Message, now: number, random: Random, effects: Effect[]): void {
@@ -235,8 +241,10 @@
   if (state.votes.length >= quorumOf(state)) becomeLeader(state, now, effects)
 }
 
-function reply (state: State, to: string, ok: boolean, match: number, sentAt: number, effects: Effect[]): void {
-  effects.push({ type: 'send', to, message: { type: 'append-reply', term: state.hardState.term, ok, match, sentAt } })
+/** Answers a message of the leader with its send time and read round. */
+function reply (state: State, to: string, ok: boolean, match: number, message: { sentAt: number, round: number }, effects: Effect[]): void {
+  const { sentAt, round } = message
+  effects.push({ type: 'send', to, message: { type: 'append-reply', term: state.hardState.term, ok, match, sentAt, round } })
 }
 
 function followLeader (state: State, from: string, now: number, random: Random): void {
@@ -247,17 +255,17 @@
 }
 
 function onAppend (state: State, from: string, message: MessageOf<'append'>, now: number, random: Random, effects: Effect[]): void {
-  if (message.term < state.hardState.term) return reply(state, from, false, 0, message.sentAt, effects)
+  if (message.term < state.hardState.term) return reply(state, from, false, 0, message, effects)
   followLeader(state, from, now, random)
-  if (message.previousIndex < state.snapshot.index) return reply(state, from, true, state.snapshot.index, message.sentAt, effects)
+  if (message.previousIndex < state.snapshot.index) return reply(state, from, true, state.snapshot.index, message, effects)
   if (termAt(state, message.previousIndex) !== message.previousTerm) {
     const hint = Math.min(lastIndex(state), message.previousIndex - 1)
-    return reply(state, from, false, hint, message.sentAt, effects)
+    return reply(state, from, false, hint, message, effects)
   }
   storeEntries(state, message.entries, effects)
   const match = message.previousIndex + message.entries.length
   commitTo(state, Math.min(message.commit, match), effects)
-  reply(state, from, true, match, message.sentAt, effects)
+  reply(state, from, true, match, message, effects)
 }
 
 function storeEntries (state: State, entries: readonly Entry[], effects: Effect[]): void {
@@ -270,7 +278,7 @@
 }
 
 function onSnapshot (state: State, from: string, message: MessageOf<'snapshot'>, now: number, random: Random, effects: Effect[]): void {
-  if (message.term < state.hardState.term) return reply(state, from, false, 0, message.sentAt, effects)
+  if (message.term < state.hardState.term) return reply(state, from, false, 0, message, effects)
   followLeader(state, from, now, random)
   const { snapshot } = message
   if (snapshot.index > state.commit) {
@@ -280,13 +288,15 @@
     state.commit = snapshot.index
     effects.push({ type: 'snapshot', snapshot, entries: state.entries, restore: true })
   }
-  reply(state, from, true, snapshot.index, message.sentAt, effects)
+  reply(state, from, true, snapshot.index, message, effects)
 }
 
 function onAppendReply (state: State, from: string, message: MessageOf<'append-reply'>, now: number, effects: Effect[]): void {
   const progress = state.progress[from]
   if (state.role !== 'leader' || message.term !== state.hardState.term || progress === undefined) return
   progress.ackedAt = Math.max(progress.ackedAt, message.sentAt)
+  progress.round = Math.max(progress.round, message.round)
+  confirmReads(state, effects)
   progress.snapshotUntil = -Infinity
   if (!message.ok) {
     const next = Math.max(progress.match + 1, Math.min(progress.next - 1, message.match + 1))
@@ -306,10 +316,11 @@
   const candidate = matches[quorumOf(state) - 1] ?? 0
   if (candidate <= state.commit || termAt(state, candidate) !== state.hardState.term) return
   commitTo(state, candidate, effects)
-  if (!membersOf(state).some((member) => member.id === state.id) && !hasPendingMembers(state)) leaveLeadership(state, now)
+  if (!membersOf(state).some((member) => member.id === state.id) && !hasPendingMembers(state)) leaveLeadership(state, now, effects)
 }
 
-function leaveLeadership (state: State, now: number): void {
+function leaveLeadership (state: State, now: number, effects: Effect[]): void {
+  refuseReads(state, effects)
   state.role = 'follower'
   state.leader = null
   state.electionAt = now + maxElectionMs
@@ -332,6 +343,31 @@
   appendEntry(state, id, payload, now, effects)
 }
 
+/** Starts a read round. The heartbeats that follow carry its number. */
+function onRead (state: State, id: string, now: number, effects: Effect[]): void {
+  if (!isCurrent(state)) return refuse(state, id, 'this instance is not the leader, or has not committed in its term yet', effects)
+  state.round++
+  state.reads.push({ id, round: state.round })
+  broadcast(state, now, effects)
+  confirmReads(state, effects)
+}
+
+function confirmReads (state: State, effects: Effect[]): void {
+  if (!isCurrent(state)) return
+  const rounds = voters(state).map((id) => id === state.id ? state.round : state.progress[id]?.round ?? 0)
+  rounds.sort((left, right) => right - left)
+  const confirmed = rounds[quorumOf(state) - 1] ?? 0
+  while (state.reads.length > 0 && state.reads[0].round <= confirmed) {
+    const read = state.reads.shift()
+    if (read !== undefined) effects.push({ type: 'confirm', id: read.id })
+  }
+}
+
+function refuseReads (state: State, effects: Effect[]): void {
+  for (const { id } of state.reads) refuse(state, id, 'this instance is no longer the leader', effects)
+  state.reads = []
+}
+
 function onChangeMembers (state: State, id: string, members: Member[], now: number, effects: Effect[]): void {
   if (state.role !== 'leader') return refuse(state, id, 'this instance is not the leader', effects)
   const reason = memberChangeProblem(state, members)
@@ -352,11 +388,17 @@
   return undefined
 }
 
+/** True for a member whose log has nearly all committed entries. */
+export function hasCaughtUp (state: State, id: string): boolean {
+  const match = state.progress[id]?.match ?? 0
+  return match > 0 && match + promotionLag >= state.commit
+}
+
 function promoteLearner (state: State, now: number, effects: Effect[]): void {
   if (!isCurrent(state) || hasPendingMembers(state)) return
   const members = membersOf(state)
-  const learner = members.find(({ id, voter }) => !voter && (state.progress[id]?.match ?? 0) + promotionLag >= state.commit)
-  if (learner === undefined || state.progress[learner.id].match === 0) return
+  const learner = members.find(({ id, voter, standby }) => !voter && standby !== true && hasCaughtUp(state, id))
+  if (learner === undefined) return
   const next = members.map((member) => member.id === learner.id ? { ...member, voter: true } : member)
   appendEntry(state, '', { type: 'members', members: next }, now, effects)
 }
--- a/src/core/consensus/types.ts
+++ b/src/core/consensus/types.ts
@@ -4,6 +4,8 @@
   /** Peer address, host:port. */
   address: string
   voter: boolean
+  /** A learner that stays one until a plan of the group promotes it; others vote as soon as they have caught up. */
+  standby?: boolean
 }
 
 /** One log entry. */
@@ -48,9 +50,9 @@
   | { type: 'prevote-reply', term: number, granted: boolean }
   | { type: 'vote', term: number, lastIndex: number, lastTerm: number, transfer: boolean }
   | { type: 'vote-reply', term: number, granted: boolean }
-  | { type: 'append', term: number, previousIndex: number, previousTerm: number, entries: Entry[], commit: number, sentAt: number }
-  | { type: 'snapshot', term: number, snapshot: Snapshot, sentAt: number }
-  | { type: 'append-reply', term: number, ok: boolean, match: number, sentAt: number }
+  | { type: 'append', term: number, previousIndex: number, previousTerm: number, entries: Entry[], commit: number, sentAt: number, round: number }
+  | { type: 'snapshot', term: number, snapshot: Snapshot, sentAt: number, round: number }
+  | { type: 'append-reply', term: number, ok: boolean, match: number, sentAt: number, round: number }
   | { type: 'timeout-now', term: number }
 
 /** Inputs of the state machine. */
@@ -61,6 +63,8 @@
   | { type: 'change-members', id: string, members: Member[] }
   | { type: 'compact', snapshot: Snapshot }
   | { type: 'transfer' }
+  /** Asks for proof that this instance is still the leader, from messages sent after the question. */
+  | { type: 'read', id: string }
 
 /** Outputs of the state machine, to be carried out in order. */
 export type Effect =
@@ -71,6 +75,8 @@
   | { type: 'send', to: string, message: Message }
   | { type: 'apply', entry: Entry }
   | { type: 'refuse', id: string, reason: string, leader: string | null }
+  /** A quorum followed this leader after the read came in, so that its state holds all that was acknowledged before. */
+  | { type: 'confirm', id: string }
 
 /** Role of an instance in its term. */
 export type Role = 'follower' | 'precandidate' | 'candidate' | 'leader'
@@ -81,6 +87,8 @@
   match: number
   /** Send time of the newest message that was acknowledged, on the leader's clock. */
   ackedAt: number
+  /** Newest read round that was acknowledged. */
+  round: number
   /** A snapshot is on its way until this time. */
   snapshotUntil: number
 }
@@ -100,4 +108,8 @@
   /** Last time a leader of the current term was heard. */
   leaderHeardAt: number
   progress: Record<string, Progress>
+  /** Number of the newest read round; a clock would not do, as it stands still while a machine is suspended. */
+  round: number
+  /** Reads that wait for a quorum to acknowledge their round. */
+  reads: Array<{ id: string, round: number }>
 }
--- a/src/core/control/admin.ts
+++ b/src/core/control/admin.ts
@@ -49,6 +49,7 @@
 function authorize (request: AdminRequest, registry: Registry): Outcome<Caller> {
   const scope = actions[request.action]
   if (scope === undefined) return fail('badRequest', { reason: `unknown action ${request.action}` })
+  if (request.vouchedFor !== undefined) return succeed({ operator: request.vouchedFor })
   for (const [operator, { value }] of Object.entries(registry.operators)) {
     if (value.withdrawn || !equalDigests(value.hash, request.credential)) continue
     return value.scopes.includes(scope) ? succeed({ operator }) : fail('forbidden', { scope })
@@ -61,6 +62,7 @@
   const name = request.name ?? ''
   switch (request.action) {
     case 'status': return succeed(describeStatus(context))
+    case 'deployment.get': return await readDeployment(context)
     case 'template.list': return succeed(listItems(registry.templates))
     case 'template.get': return getItem(registry.templates, 'template', name)
     case 'workspace.list': return succeed(listItems(registry.workspaces))
@@ -76,6 +78,15 @@
   }
 }
 
+/** Reads the deployment after a quorum has confirmed that no newer one was acknowledged elsewhere. */
+async function readDeployment ({ group, registry }: AdminContext): Promise<Outcome<unknown>> {
+  const confirmed = await group.confirm()
+  if (!confirmed.ok) return confirmed
+  const { deployment } = registry()
+  if (deployment === undefined) return fail('notFound', { item: 'deployment' })
+  return succeed({ version: deployment.value.version, source: deployment.source })
+}
+
 function listItems (items: Record<string, { revision: number, changedBy: string, value: unknown }>): unknown {
   return Object.entries(items).map(([name, item]) => ({ name, ...item }))
 }
@@ -144,6 +155,7 @@
 }
 
 const kinds: Partial<Record<AdminRequest['action'], Change['kind']>> = {
+  'deployment.set': 'deployment',
   'template.set': 'template',
   'workspace.set': 'workspace',
   'key.give': 'key-give',
--- a/src/core/control/api.ts
+++ b/src/core/control/api.ts
@@ -88,6 +88,7 @@
     return send(event, await forward({ ...baseRequest(event, action), body: wrap(document.value) }))
   }
   const value = (document: unknown) => ({ value: document })
+  const wrapDeployment = (document: unknown) => ({ value: document, source: JSON.stringify(document) })
   const plain = (document: unknown) => document
   const giveKey = async (event: H3Event) => {
     const document = await readDocument(event)
@@ -106,6 +107,8 @@
     return { hash: typeof token === 'string' && token.length >= 16 ? credentialHash(token) : 'the token needs 16 characters', scopes }
   }
   app.get('/v1/status', read('status'))
+  app.get('/v1/deployment', read('deployment.get'))
+  app.put('/v1/deployment', write('deployment.set', wrapDeployment))
   app.get('/v1/templates', read('template.list'))
   app.get('/v1/templates/:name', read('template.get'))
   app.put('/v1/templates/:name', write('template.set', value))
--- a/src/core/control/control.ts
+++ b/src/core/control/control.ts
@@ -1,9 +1,9 @@
 import type { Server } from 'node:http'
 import { randomId } from '../auth/index.ts'
 import type { Hash } from '../claims/index.ts'
-import { parametersOf, scopes } from '../config/index.ts'
-import type { Change, Configuration } from '../config/index.ts'
-import { holdsLease, isCurrent, membersOf } from '../consensus/index.ts'
+import { limitedWorkspaces, limitOf, scopes } from '../config/index.ts'
+import type { Change } from '../config/index.ts'
+import { hasCaughtUp, holdsLease, isCurrent, membersOf } from '../consensus/index.ts'
 import type { Message, Snapshot } from '../consensus/index.ts'
 import { fail, succeed } from '../errors/index.ts'
 import type { Outcome } from '../errors/index.ts'
@@ -18,8 +18,10 @@
 import { createDisk, lockFolder, openLogStore } from '../storage/index.ts'
 import { handleAdmin } from './admin.ts'
 import { createAdminServer, credentialHash } from './api.ts'
+import { planComposition, watchMembers } from './composition.ts'
 import { createGroup } from './group.ts'
 import type { Group } from './group.ts'
+import { openIdentity } from './identity.ts'
 import { createReports } from './reports.ts'
 import type { NodeReport } from './reports.ts'
 import { createWatch, observeFleet, planSlots } from './housekeeping.ts'
@@ -28,6 +30,7 @@
 const messageTimeoutMs = 1000
 const forwardTimeoutMs = 4000
 const housekeepingMs = 500
+const compositionMs = 100
 const transferWaitMs = 400
 const accountsMs = 500
 
@@ -35,6 +38,8 @@
 export interface Control {
   peerAddress: string
   adminAddress: string
+  /** Carries out a request of an operator whom an interface of this process vouches for. */
+  administer: (operator: string, request: Omit<AdminRequest, 'credential' | 'vouchedFor'>) => Promise<AdminAnswer>
   /** Hands leadership over, answers what runs and ends. */
   stop: () => Promise<void>
 }
@@ -46,7 +51,15 @@
   disk.makeFolder(options.data)
   const lock = lockFolder(options.data)
   if (!lock.ok) return lock
-  const initial: Snapshot = { index: 0, term: 0, members: options.join ? [] : options.members, state: null }
+  const identity = options.autoMembers
+    ? openIdentity(disk, options.data, { name: options.id, bootstrap: options.bootstrap, founders: options.members.map((member) => member.id) })
+    : succeed({ id: options.id, joins: options.join })
+  if (!identity.ok) {
+    lock.value()
+    return identity
+  }
+  const { id, joins } = identity.value
+  const initial: Snapshot = { index: 0, term: 0, members: joins ? [] : options.members, state: null }
   const opened = openLogStore(disk, options.data, initial)
   if (!opened.ok) {
     lock.value()
@@ -57,7 +70,7 @@
 
   let registry: Registry = createRegistry()
   const peers = await createPeers({
-    id: options.id,
+    id,
     boot: randomId(),
     role: 'control',
     domain: options.domain,
@@ -65,7 +78,7 @@
     seeds: [...options.seeds, ...options.members.map((member) => member.address)],
     secrets: options.secrets
   }, environment)
-  const send = createMessageSender(options.id, peers, () => membersOf(group.state), metrics.count)
+  const send = createMessageSender(id, peers, () => membersOf(group.state), metrics.count)
   let publishNow = () => {}
   const machine = {
     apply (command: unknown) {
@@ -81,7 +94,7 @@
       peers.install(configurationOf(registry), registry.deltas)
     }
   }
-  const group: Group = createGroup(options.id, stored, store, machine, send, environment)
+  const group: Group = createGroup(id, stored, store, machine, send, environment)
   const admin = {
     registry: () => registry,
     group,
@@ -95,25 +108,27 @@
   const handleOrForward = async (request: AdminRequest): Promise<AdminAnswer> => {
     const { leader } = group.state
     const address = membersOf(group.state).find((member) => member.id === leader)?.address
-    if (leader === options.id || address === undefined) return await handleAdmin(request, admin)
+    if (leader === id || address === undefined) return await handleAdmin(request, admin)
     const answer = await peers.rpc.call<AdminAnswer>(address, 'control.admin', request, forwardTimeoutMs)
     if (answer.ok) return answer.value
     const { status, name, message, hint } = fail('outcomeUnknown', { reason: answer.reason })
     return { status, body: { error: name, message, hint } }
   }
-  serveRpc(peers, group, admin, isLeader, () => registry, environment)
+  serveRpc(id, peers, group, admin, isLeader, () => registry, environment)
   const accounts = serveRates(peers, group, isLeader, environment)
-  const duties = startDuties(options, peers, group, isLeader, () => registry, hash, environment)
+  const duties = startDuties(id, options, peers, group, isLeader, () => registry, hash, environment)
   publishNow = duties.publish
+  const composing = options.autoMembers ? keepComposition(id, peers, group, isLeader, environment) : undefined
   const server: Server = createAdminServer(handleOrForward, metrics.expose)
   const adminAddress = await listen(server, options.admin)
   metrics.gauge('consensus_term', () => group.state.hardState.term)
   metrics.gauge('consensus_commit', () => group.state.commit)
-  log.info('control instance started', { id: options.id, peer: peers.address, admin: adminAddress, revision: registry.revision })
+  log.info('control instance started', { id, joins, peer: peers.address, admin: adminAddress, revision: registry.revision })
 
   return succeed({
     peerAddress: peers.address,
     adminAddress,
+    administer: (operator, request) => handleOrForward({ ...request, credential: '', vouchedFor: operator }),
     async stop () {
       group.transfer()
       await new Promise((resolve) => setTimeout(resolve, transferWaitMs))
@@ -121,10 +136,11 @@
       peers.announceLeave()
       clearInterval(duties.timer)
       clearInterval(accounts)
+      clearInterval(composing)
       group.close()
       await peers.close()
       lock.value()
-      log.info('control instance stopped', { id: options.id })
+      log.info('control instance stopped', { id })
     }
   })
 }
@@ -137,22 +153,22 @@
     const known = members().find((member) => member.id === to) ?? peers.members().find((member) => member.id === to && member.role === 'control')
     if (known === undefined) return
     const { address } = known
-    void peers.rpc.call(address, 'consensus', { from: id, message }, messageTimeoutMs).then((result) => {
+    void peers.rpc.call(address, 'consensus', { from: id, to, message }, messageTimeoutMs).then((result) => {
       count(`consensus_messages_total{outcome="${result.ok ? 'sent' : 'lost'}"}`)
     })
   }
 }
 
 function serveRpc (
-  peers: Peers, group: Group, admin: Parameters<typeof handleAdmin>[1], isLeader: () => boolean, registry: () => Registry, { clock }: Environment
+  id: string, peers: Peers, group: Group, admin: Parameters<typeof handleAdmin>[1], isLeader: () => boolean, registry: () => Registry, { clock }: Environment
 ): void {
   const propose = async (command: Command) => {
     if (!isLeader()) return { ok: false }
     const outcome = await group.propose(command)
     return { ok: outcome.ok }
   }
-  peers.rpcServer.method('consensus', ({ from, message }: { from: string, message: Message }) => {
-    setImmediate(() => group.receive(from, message))
+  peers.rpcServer.method('consensus', ({ from, to, message }: { from: string, to: string, message: Message }) => {
+    if (to === id) setImmediate(() => group.receive(from, message))
     return null
   })
   peers.rpcServer.method('control.admin', (request: AdminRequest) => handleAdmin(request, admin))
@@ -177,11 +193,6 @@
     }
     return ledger
   }
-  const limitOf = (configuration: Configuration, name: string) => {
-    const workspace = configuration.workspaces[name]
-    const template = workspace && configuration.templates[workspace.template]
-    return template && parametersOf(template, workspace)
-  }
   peers.datagrams.method('rate.report', ({ holder, demands }: { holder: string, demands: Demand[] }): { grants: Grant[] } | null => {
     if (!isLeader()) return null
     const now = clock.now()
@@ -197,7 +208,7 @@
   const openAccounts = () => {
     if (!isLeader()) return
     const configuration = peers.configuration()
-    for (const workspace of Object.keys(configuration.workspaces)) {
+    for (const workspace of limitedWorkspaces(configuration)) {
       const limit = limitOf(configuration, workspace)
       if (limit !== undefined) openAccount(ledgerInOffice(), workspace, limit, clock.now())
     }
@@ -205,9 +216,30 @@
   return setInterval(openAccounts, accountsMs)
 }
 
+/** Keeps the group complete while this instance leads. */
+function keepComposition (id: string, peers: Peers, group: Group, isLeader: () => boolean, { clock, log }: Environment): NodeJS.Timeout {
+  const missingSince = new Map<string, number>()
+  let busy = false
+  return setInterval(() => {
+    if (!isLeader()) return missingSince.clear()
+    const now = clock.now()
+    const members = membersOf(group.state)
+    const living = peers.members().filter(({ role }) => role === 'control').map(({ id, address, startedAt }) => ({ id, address, startedAt }))
+    watchMembers(missingSince, members, living, now)
+    const view = { self: id, members, living, missingSince, isCaughtUp: (member: string) => hasCaughtUp(group.state, member) }
+    const planned = busy ? undefined : planComposition(view, now)
+    if (planned === undefined) return
+    busy = true
+    log.info('member list changes', { before: members, after: planned })
+    void group.changeMembers(() => planned).finally(() => {
+      busy = false
+    })
+  }, compositionMs)
+}
+
 /** Starts what the leader does at intervals: beacons, placement of claims, the first operator. */
 function startDuties (
-  options: ControlOptions, peers: Peers, group: Group, isLeader: () => boolean, registry: () => Registry, hash: Hash, { clock, log }: Environment
+  id: string, options: ControlOptions, peers: Peers, group: Group, isLeader: () => boolean, registry: () => Registry, hash: Hash, { clock, log }: Environment
 ): { timer: NodeJS.Timeout, publish: () => void } {
   const watch = createWatch()
   let sequence = 0
@@ -218,14 +250,13 @@
     sequence: ++sequence,
     revision: registry().revision,
     issuedAt: clock.date().getTime(),
-    leader: options.id,
+    leader: id,
     address: peers.address
   })
   const keepHouse = async () => {
     const now = clock.now()
-    const fleet = observeFleet(watch, peers.members(), registry().slots, now)
-    const slots = planSlots(watch, fleet, registry().slots, hash, now, clock.date().getTime())
     const at = clock.date().getTime()
+    const slots = options.claims ? planSlots(watch, observeFleet(watch, peers.members(), registry().slots, now), registry().slots, hash, now, at) : {}
     if (Object.keys(slots).length > 0) await group.propose({ type: 'place', at, slots } satisfies Command)
     if (Object.keys(registry().operators).length > 0 || options.operatorToken === '') return
     const change: Change = { kind: 'operator-give', changeId: 'first-operator', name: 'root', hash: credentialHash(options.operatorToken), scopes: [...scopes] }
--- a/src/core/control/group.ts
+++ b/src/core/control/group.ts
@@ -26,6 +26,8 @@
   /** Proposes a command and waits until it is applied here. */
   propose: (command: unknown) => Promise<Outcome<unknown>>
   changeMembers: (change: (members: Member[]) => Member[]) => Promise<Outcome<unknown>>
+  /** Succeeds once a quorum has confirmed, after the call, that this instance leads and knows all that was acknowledged. */
+  confirm: () => Promise<Outcome<unknown>>
   /** Hands leadership over before a planned stop. */
   transfer: () => void
   /** Why the storage no longer works, or undefined. */
@@ -74,6 +76,7 @@
         break
       case 'send': send(effect.to, effect.message); break
       case 'apply': apply(effect.entry); break
+      case 'confirm': settle(effect.id, { ok: true, value: null }); break
       case 'refuse': settle(effect.id, fail('noLeader', { reason: effect.reason })); break
     }
   }
@@ -124,6 +127,7 @@
     receive: (from, message) => advance({ type: 'message', from, message }),
     propose: (command) => submit((proposal) => ({ type: 'propose', id: proposal, command })),
     changeMembers: (change) => submit((proposal) => ({ type: 'change-members', id: proposal, members: change(membersOf(state)) })),
+    confirm: () => submit((proposal) => ({ type: 'read', id: proposal })),
     transfer: () => advance({ type: 'transfer' }),
     failure: () => failure,
     leaderSince: () => leaderSince,
--- a/src/core/control/types.ts
+++ b/src/core/control/types.ts
@@ -15,6 +15,15 @@
   members: Member[]
   /** Joins an existing group as a learner. */
   join: boolean
+  /**
+   * Keeps the group complete without an operator: instances that are found join as standbys and take the place of lost ones.
+   * An instance whose disk is empty outside the first start comes back under a new id.
+   */
+  autoMembers: boolean
+  /** With `autoMembers`: the whole system starts for the first time. */
+  bootstrap: boolean
+  /** Places claims among the nodes; without, non-idempotent requests rely on entering at one node only. */
+  claims: boolean
   seeds: string[]
   secrets: string[]
   /** Token of the first operator, who may do everything. */
@@ -24,6 +33,8 @@
 /** Actions of the administration API, with the scope that each needs. */
 export const actions = {
   status: 'read',
+  'deployment.get': 'read',
+  'deployment.set': 'configuration',
   'template.list': 'read',
   'template.get': 'read',
   'template.set': 'configuration',
@@ -52,6 +63,8 @@
   action: Action
   /** Hash of the operator's token. */
   credential: string
+  /** Operator whom an interface of this process vouches for, in place of a credential. */
+  vouchedFor?: string
   name?: string
   body?: unknown
   changeId?: string
--- /dev/null
+++ b/src/core/deployment/index.ts
@@ -0,0 +1,5 @@
+export { deploymentProblem } from './check.ts'
+export { deploymentSchema } from './schema.ts'
+export type { Deployment, DeploymentRoute, DeploymentWorkspace, Destination } from './schema.ts'
+export { createDeploymentTable, drawService, hostName } from './table.ts'
+export type { DeploymentTable } from './table.ts'
--- a/src/core/errors/catalogue.ts
+++ b/src/core/errors/catalogue.ts
@@ -103,6 +103,20 @@
     message: ({ method, path }) => `no route matches ${method} ${path}`,
     hint: 'Routes come from the template of the workspace.'
   }),
+  noDeployment: entry({
+    name: 'no_deployment',
+    title: 'No deployment',
+    status: 503,
+    message: () => 'this node has not received a configuration yet',
+    hint: 'Send again in a moment; if it lasts, see whether the control group has a leader.'
+  }),
+  notExecuted: entry<{ status: number }>({
+    name: 'not_executed',
+    title: 'Not executed',
+    status: 503,
+    message: ({ status }) => `the target turned the request away with status ${status}, without running it`,
+    hint: 'Send again after the time in Retry-After.'
+  }),
   badRequest: entry<{ reason: string }>({
     name: 'bad_request',
     title: 'Bad request',
--- a/src/core/http/listen.ts
+++ b/src/core/http/listen.ts
@@ -15,10 +15,17 @@
   })
 }
 
-/** Stops accepting connections and waits until the last answer was sent. */
+/** Time that callers have to close their connections after the last answer, in milliseconds. */
+const lingerMs = 500
+
+/** Stops accepting connections and waits until the last answer was sent, for a short while. */
 export function closeServer (server: Server): Promise<void> {
   return new Promise((resolve) => {
-    server.close(() => resolve())
+    const ending = setTimeout(() => server.closeAllConnections(), lingerMs)
+    server.close(() => {
+      clearTimeout(ending)
+      resolve()
+    })
     server.closeIdleConnections()
   })
 }
--- a/src/core/node/attempts.ts
+++ b/src/core/node/attempts.ts
@@ -2,6 +2,7 @@
 import { admits, createThrottle, pruneThrottle, recordOutcome } from '../admission/index.ts'
 import { priorities } from '../config/index.ts'
 import { fail } from '../errors/index.ts'
+import type { Failure } from '../errors/index.ts'
 import type { Member } from '../membership/index.ts'
 import type { Environment, Peers } from '../peers/index.ts'
 import { createRetryRatios, earnRetry, giveBack, lend, mayRetry, spend, takeRetry } from '../retries/index.ts'
@@ -13,6 +14,9 @@
 import { emptyReport } from './types.ts'
 import type { Attempted, Call, Sink } from './types.ts'
 
+/** Targets whose nodes are asked for one attempt while each turns it away unseen. */
+const maxPlaces = 3
+
 const pruneEveryMs = 5000
 
 /** Brings a call to a target, with further attempts where they are allowed. */
@@ -26,6 +30,20 @@
   address: string
 }
 
+function refused (failure: Failure, shed: boolean): Attempted {
+  return { type: 'refused', failure, elsewhere: false, arrived: false, report: { ...emptyReport, shed } }
+}
+
+/** True when no target saw the attempt, so that trying elsewhere costs targets nothing. */
+function isUnseen (attempted: Attempted): boolean {
+  return attempted.type === 'refused' && !attempted.arrived
+}
+
+/** A refusal says "not run", which does not hold when an earlier attempt may have run. */
+function conclusion (last: Attempted, mayHaveRun: Attempted | undefined): Attempted {
+  return last.type === 'refused' && mayHaveRun !== undefined ? { ...mayHaveRun, report: last.report } : last
+}
+
 function placesByService (members: readonly Member[]): Map<string, Place[]> {
   const places = new Map<string, Place[]>()
   for (const { id, domain, address, target } of members) {
@@ -90,24 +108,30 @@
       const key = throttleKey(call)
       if (!admits(throttle, key, priority, random.next(), clock.now())) {
         metrics.count(`throttled_total{priority="${priorities[priority]}"}`)
-        const failure = fail('overloaded', { service, reason: 'refused early, as targets further down refuse' })
-        return { type: 'refused', failure, elsewhere: false, report: { ...emptyReport, shed: true } }
+        return refused(fail('overloaded', { service, reason: 'refused early, as targets further down refuse' }), true)
       }
       const tried = new Set<string>()
       let next = call
+      let mayHaveRun: Attempted | undefined
       while (true) {
         const all = candidates(service)
         const fresh = all.filter((place) => !tried.has(place.node))
         const chosen = chooseTarget(standings, fresh.length > 0 ? fresh : all, peers.self().domain, clock.now(), random) as Place | undefined
-        if (chosen === undefined) return { type: 'refused', failure: fail('noTarget', { service }), elsewhere: false, report: emptyReport }
+        if (chosen === undefined) return mayHaveRun ?? refused(fail('noTarget', { service }), false)
         const attempted = await attemptOnce(next, budget, chosen, sink)
         const overloaded = attempted.report.shed || (attempted.type === 'answered' && attempted.status === 503)
         recordOutcome(throttle, key, priority, !overloaded, clock.now())
         if (attempted.type === 'answered') earnRetry(ratios, service)
-        if (!canRepeat(next, attempted) || budget.left < 1 || !takeRetry(ratios, service)) return attempted
+        if (attempted.type === 'failed') mayHaveRun = attempted
+        tried.add(chosen.node)
+        if (!canRepeat(next, attempted)) return conclusion(attempted, mayHaveRun)
+        if (isUnseen(attempted)) {
+          if (tried.size >= Math.min(all.length, maxPlaces)) return conclusion(attempted, mayHaveRun)
+          continue
+        }
+        if (budget.left < 1 || !takeRetry(ratios, service)) return conclusion(attempted, mayHaveRun)
         spend(budget)
         metrics.count('retries_total')
-        tried.add(chosen.node)
         if (attempted.type === 'failed' && attempted.crashed) next = { ...call, context: { ...call.context, suspect: true } }
       }
     },
--- a/src/core/node/body.ts
+++ b/src/core/node/body.ts
@@ -1,12 +1,11 @@
 import type { IncomingMessage } from 'node:http'
 import { fail, succeed } from '../errors/index.ts'
 import type { Outcome } from '../errors/index.ts'
-import { maxBodyBytes } from './constants.ts'
 
 const noBytes = Buffer.alloc(0)
 
-/** Reads a request body whole. A body that breaks off or is too large is a failure. */
-export function readBody (request: IncomingMessage): Promise<Outcome<Buffer>> | Outcome<Buffer> {
+/** Reads a request body of at most `maxBodyBytes` whole. A body that breaks off or is too large is a failure. */
+export function readBody (request: IncomingMessage, maxBodyBytes: number): Promise<Outcome<Buffer>> | Outcome<Buffer> {
   const length = request.headers['content-length']
   if (length === undefined && request.headers['transfer-encoding'] === undefined) {
     request.resume()
--- a/src/core/node/constants.ts
+++ b/src/core/node/constants.ts
@@ -25,6 +25,9 @@
 /** Largest request body, in bytes. */
 export const maxBodyBytes = 1024 * 1024
 
+/** Largest request body between nodes, in bytes. */
+export const maxPeerBodyBytes = 64 * 1024 * 1024
+
 /** Largest request head, in bytes. */
 export const maxHeaderBytes = 16 * 1024
 
--- a/src/core/node/entry.ts
+++ b/src/core/node/entry.ts
@@ -1,138 +1,30 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { digest, randomId } from '../auth/index.ts'
-import { parametersOf, priorities } from '../config/index.ts'
 import type { EffectiveParameters, EffectiveRoute } from '../config/index.ts'
-import { fail, invariant, succeed } from '../errors/index.ts'
-import type { Outcome } from '../errors/index.ts'
-import type { Environment, Peers } from '../peers/index.ts'
+import { invariant } from '../errors/index.ts'
 import { fingerprintOf } from '../quarantine/index.ts'
-import type { RateClient } from '../rate/client.ts'
 import { createBudget } from '../retries/index.ts'
-import type { Caller } from './attempts.ts'
-import { readBody } from './body.ts'
-import { ownPathPrefix } from './constants.ts'
-import { headerOf, holdsKey, requestHeaders } from './headers.ts'
-import type { Directory, Identity } from './identity.ts'
-import type { Refusals } from './refusals.ts'
-import { keyProblem } from './serve.ts'
+import type { CallerRequest, Dialect } from './dialect.ts'
+import { filters } from './filters.ts'
+import type { Arrival, EntryContext } from './filters.ts'
 import { createResponseSink } from './sinks.ts'
 import { createCancellation } from './types.ts'
 import type { Call } from './types.ts'
 
 const openParameters: EffectiveParameters = { rate: 0, burst: 0, weight: 1, retryBudget: 2 }
-const maxIdempotencyKeyLength = 256
 
-/** A caller's request on its way through the filters. */
-export interface Arrival {
-  request: IncomingMessage
-  method: string
-  path: string
-  pathname: string
-  identity: Identity | undefined
-  /** Missing until the route was found. */
-  route: EffectiveRoute | undefined
-  parameters: EffectiveParameters
-  headers: string[]
-  idempotencyKey: string | undefined
-  body: Buffer
-}
-
-/** What the filters work with. */
-export interface EntryContext {
-  peers: Peers
-  directory: Directory
-  rates: RateClient
-  caller: Caller
-  refusals: Refusals
-  environment: Environment
-}
-
-/** One step of the way in. Adds to the arrival or refuses it. */
-type Filter = (arrival: Arrival, context: EntryContext) => Outcome<null> | Promise<Outcome<null>>
-
-const passed = succeed(null)
-
-function screen (arrival: Arrival): Outcome<null> {
-  const { path, request } = arrival
-  if (!path.startsWith('/') || path.startsWith(ownPathPrefix)) return fail('unknownRoute', { method: arrival.method, path: arrival.pathname })
-  if (holdsKey(path)) return fail('badRequest', { reason: 'a key may be sent in the Authorization header only, not in the URL' })
-  if (request.headers.upgrade !== undefined) return fail('badRequest', { reason: 'upgrades are not served' })
-  return passed
-}
-
-function authenticate (arrival: Arrival, { directory, peers, environment }: EntryContext): Outcome<null> {
-  const { authorization } = arrival.request.headers
-  if (authorization === undefined) return passed
-  const key = /^Bearer +(\S+)$/i.exec(authorization)?.[1]
-  if (key === undefined) return fail('unauthorized', { reason: 'the Authorization header is not of the form "Bearer KEY"' })
-  arrival.identity = directory.identify(key)
-  if (arrival.identity !== undefined) return passed
-  const stale = keyProblem({ workspace: '', keyId: null }, peers, environment.clock.now())
-  return stale?.code === 'stale' ? stale : fail('unauthorized', { reason: 'the key is unknown or was withdrawn' })
-}
-
-function findRoute (arrival: Arrival, { directory, peers }: EntryContext): Outcome<null> {
-  const { method, pathname, identity } = arrival
-  const routes = directory.routes()
-  const route = identity === undefined ? routes.findOpen(method, pathname) : routes.find(identity.workspace, method, pathname) ?? routes.findOpen(method, pathname)
-  if (route === undefined) {
-    return identity === undefined ? fail('unauthorized', { reason: 'this route needs a key' }) : fail('unknownRoute', { method, path: pathname })
-  }
-  arrival.route = route
-  if (identity === undefined) return passed
-  const configuration = peers.configuration()
-  const workspace = configuration.workspaces[identity.workspace]
-  const template = workspace && configuration.templates[workspace.template]
-  if (template !== undefined) arrival.parameters = parametersOf(template, workspace)
-  return passed
-}
-
-function checkKey ({ identity, route }: Arrival, { peers, environment }: EntryContext): Outcome<null> {
-  if (identity === undefined || route?.open === true) return passed
-  return keyProblem({ workspace: identity.workspace, keyId: identity.keyId }, peers, environment.clock.now()) ?? passed
-}
-
-function checkIdempotencyKey (arrival: Arrival): Outcome<null> {
-  const key = headerOf(arrival.headers, 'idempotency-key')
-  arrival.idempotencyKey = key
-  if (key === undefined) return passed
-  const valid = key.length > 0 && key.length <= maxIdempotencyKeyLength
-  return valid ? passed : fail('badRequest', { reason: `an Idempotency-Key has 1 to ${maxIdempotencyKeyLength} characters` })
-}
-
-async function checkRate ({ identity, route }: Arrival, { rates }: EntryContext): Promise<Outcome<null>> {
-  if (identity === undefined || route?.open === true) return passed
-  const admitted = rates.admit(identity.workspace)
-  if (admitted === true || await admitted) return passed
-  return fail('overRate', { workspace: identity.workspace })
-}
-
-async function receiveBody (arrival: Arrival): Promise<Outcome<null>> {
-  const reading = readBody(arrival.request)
-  const body = reading instanceof Promise ? await reading : reading
-  if (!body.ok) return body
-  if (body.value.length > 0 && holdsKey(body.value.toString('latin1'))) {
-    return fail('badRequest', { reason: 'a key may be sent in the Authorization header only, not in the body' })
-  }
-  arrival.body = body.value
-  return passed
-}
-
-/** The way of a caller's request, in order. The caller part then claims, chooses and attempts. */
-const filters: readonly Filter[] = [screen, authenticate, findRoute, checkKey, checkIdempotencyKey, receiveBody, checkRate]
-
-function createArrival (request: IncomingMessage): Arrival {
+function createArrival (request: IncomingMessage, said: CallerRequest): Arrival {
   const path = request.url ?? '/'
   const end = path.indexOf('?')
   return {
     request,
+    said,
     method: request.method ?? 'GET',
     path,
     pathname: end < 0 ? path : path.slice(0, end),
     identity: undefined,
     route: undefined,
     parameters: openParameters,
-    headers: requestHeaders(request.rawHeaders),
     idempotencyKey: undefined,
     body: Buffer.alloc(0)
   }
@@ -143,11 +35,12 @@
   return digest(Buffer.concat([Buffer.from(`${method} ${path}\n`), body]))
 }
 
-function createCall (arrival: Arrival, route: EffectiveRoute, now: number): Call {
-  const { identity, parameters, method, path, headers, body, idempotencyKey } = arrival
+function createCall (arrival: Arrival, route: EffectiveRoute, dialect: Dialect, now: number): Call {
+  const { identity, parameters, method, path, body, idempotencyKey, request, said } = arrival
   const workspace = route.open ? null : identity?.workspace ?? null
   const chain = randomId()
   const bodyDigest = requestDigest(method, path, body)
+  const timeoutMs = Math.min(route.timeoutMs, said.timeLeftMs ?? Infinity)
   return {
     context: {
       attempt: chain,
@@ -158,32 +51,36 @@
       template: route.template,
       route: route.name,
       service: route.service,
-      priority: priorities.indexOf(route.priority),
+      priority: route.priority,
       weight: parameters.weight,
       idempotent: route.idempotent,
+      needsClaim: !route.idempotent && !dialect.singleEntry,
+      host: dialect.configuredBy === 'deployment' ? said.host : null,
       digest: bodyDigest,
       fingerprint: fingerprintOf({ workspace: workspace ?? '', route: route.name, method, path, bodyDigest }),
       suspect: false,
       resendable: idempotencyKey !== undefined,
       depth: 0,
       budget: parameters.retryBudget,
-      remainingMs: route.timeoutMs
+      remainingMs: timeoutMs
     },
     method,
     path,
-    headers,
+    headers: dialect.requestHeaders(request.rawHeaders, workspace),
     body,
-    deadlineAt: now + route.timeoutMs,
+    deadlineAt: now + timeoutMs,
     cancellation: createCancellation()
   }
 }
 
 /** Serves one request of a caller. */
 export async function serveCaller (request: IncomingMessage, response: ServerResponse, context: EntryContext): Promise<void> {
-  const { clock, metrics } = context.environment
+  const { dialect, environment: { clock, metrics } } = context
   const arrivedAt = clock.now()
-  const arrival = createArrival(request)
-  for (const filter of filters) {
+  const said = dialect.read(request)
+  if (!said.ok) return dialect.writeRefusal(response, { failure: said, run: 'not-run', retryAfterMs: 0 })
+  const arrival = createArrival(request, said.value)
+  for (const filter of filters[dialect.configuredBy]) {
     const pending = filter(arrival, context)
     const outcome = pending instanceof Promise ? await pending : pending
     if (outcome.ok) continue
@@ -191,7 +88,8 @@
     return context.refusals.refuseArrival(response, outcome, arrival)
   }
   invariant(arrival.route !== undefined, 'the filters found no route')
-  const call = createCall(arrival, arrival.route, arrivedAt)
+  const call = createCall(arrival, arrival.route, dialect, arrivedAt)
+  if (response.destroyed) call.cancellation.cancel()
   response.once('close', () => {
     if (!response.writableFinished) call.cancellation.cancel()
   })
--- a/src/core/node/forward.ts
+++ b/src/core/node/forward.ts
@@ -10,6 +10,9 @@
 import { emptyReport } from './types.ts'
 import type { Attempted, Call, Report, Sink } from './types.ts'
 
+/** Headers that a node adds to the answers that it passes back to another. */
+const isPeerHeader = (name: string) => name === outcomeHeader || name === reportHeader
+
 const marginMs = 50
 const connectTimeoutMs = 500
 const connectionsPerPeer = 256
@@ -38,7 +41,7 @@
 
 function fromError (error: ExchangeError, call: Call): Attempted {
   if (!error.written) {
-    return { type: 'refused', failure: fail('noTarget', { service: call.context.service }), elsewhere: true, report: emptyReport }
+    return { type: 'refused', failure: fail('noTarget', { service: call.context.service }), elsewhere: true, arrived: false, report: emptyReport }
   }
   const failure = error.cause === 'timeout' ? fail('unknownOutcome', { reason: 'no answer in time' }) : fail('unknownOutcome', { reason: error.reason })
   return { type: 'failed', failure, crashed: false, report: { ...emptyReport, used: call.context.budget } }
@@ -69,7 +72,7 @@
         if (!isAnswer) return headers[outcomeHeader] !== undefined
         report = parseReport(headers[reportHeader])
         status = code
-        sink.head(code, answerHeaders(headers), report)
+        sink.head(code, answerHeaders(headers, isPeerHeader), report)
         return true
       },
       data (chunk, resume) {
@@ -99,6 +102,6 @@
     return { type: 'failed', failure: fail('unknownOutcome', { reason: 'the node gave no readable outcome' }), crashed: false, report: { ...emptyReport, used: lent } }
   }
   const { failure, report } = outcome
-  if (outcome.type === 'refused') return { type: 'refused', failure, elsewhere: outcome.elsewhere, report }
+  if (outcome.type === 'refused') return { type: 'refused', failure, elsewhere: outcome.elsewhere, arrived: outcome.arrived, report }
   return { type: 'failed', failure, crashed: outcome.crashed, report }
 }
--- a/src/core/node/gate.ts
+++ b/src/core/node/gate.ts
@@ -1,5 +1,5 @@
 import { createAdmission, finish, loadOf, offer, sweepAdmission, withdraw } from '../admission/index.ts'
-import type { Admission, Decision, Entry, Reason, Sample } from '../admission/index.ts'
+import type { Admission, Decision, Entry, FinishedRequest, Reason } from '../admission/index.ts'
 import type { Clock } from '../clock/index.ts'
 import { sweepMs } from './constants.ts'
 
@@ -10,7 +10,7 @@
 export interface Gate {
   enter: (entry: Entry) => Promise<Admittance> | Admittance
   /** Gives the place back. `sample` is missing when the request never reached the target. */
-  exit: (sample: Omit<Sample, 'running'> | undefined) => void
+  exit: (sample: FinishedRequest | undefined) => void
   /** A waiting request's caller is gone. */
   cancel: (id: string) => void
   load: () => number
@@ -23,9 +23,9 @@
   close: () => void
 }
 
-/** Creates the gate of a target with `slots`. */
-export function createGate (slots: number, clock: Clock): Gate {
-  let admission: Admission = createAdmission(slots, clock.now())
+/** Creates the gate of a target with `slots`. With `learns`, fewer than the slots may run at once. */
+export function createGate (slots: number, clock: Clock, learns: boolean): Gate {
+  let admission: Admission = createAdmission(slots, clock.now(), learns)
   const waiting = new Map<string, (admittance: Admittance) => void>()
   let timer: NodeJS.Timeout | undefined
   const carryOut = (decision: Decision) => {
@@ -65,12 +65,12 @@
     running: () => admission.running,
     limit: () => admission.limit.value,
     reset (next) {
-      const fresh = createAdmission(next, clock.now())
+      const fresh = createAdmission(next, clock.now(), learns)
       admission = { ...fresh, running: admission.running, queue: admission.queue }
     },
     resize (next) {
       admission.limit.slots = next
-      admission.limit.value = Math.min(admission.limit.value, next)
+      admission.limit.value = learns ? Math.min(admission.limit.value, next) : next
     },
     close () {
       clearTimeout(timer)
--- a/src/core/node/headers.ts
+++ b/src/core/node/headers.ts
@@ -1,5 +1,5 @@
 import type { IncomingHttpHeaders } from 'node:http'
-import { callHeader, callSignatureHeader, contextHeader, ownHeaderPrefix } from './constants.ts'
+import { callHeader, callSignatureHeader } from './constants.ts'
 
 const hopByHop = new Set([
   'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect'
@@ -33,26 +33,31 @@
   return names
 }
 
-/** Headers that are passed on with a request: none of a single hop, none of ours, and nothing that holds a key. */
-export function requestHeaders (rawHeaders: readonly string[]): string[] {
+/** True for a header that holds a key. */
+export function isCredential (name: string, value: string): boolean {
+  return (credentials.has(name) && keyShape.test(value)) || holdsKey(value)
+}
+
+/** Headers that are passed on with a request: none that concern one connection, and none that `isDropped` names. */
+export function requestHeaders (rawHeaders: readonly string[], isDropped: (name: string, value: string) => boolean): string[] {
   const named = connectionNames(rawHeaders)
   const kept: string[] = []
   for (let index = 0; index < rawHeaders.length; index += 2) {
     const name = rawHeaders[index].toLowerCase()
     const value = rawHeaders[index + 1]
     if (hopByHop.has(name) || named.has(name) || name === 'content-length' || name === 'host') continue
-    if (name.startsWith(ownHeaderPrefix) || (credentials.has(name) && keyShape.test(value)) || holdsKey(value)) continue
+    if (isDropped(name, value)) continue
     kept.push(name, value)
   }
   return kept
 }
 
-/** Headers that are passed back with an answer. */
-export function answerHeaders (headers: IncomingHttpHeaders): string[] {
+/** Headers that are passed back with an answer: none that concern one connection, and none that `isDropped` names. */
+export function answerHeaders (headers: IncomingHttpHeaders, isDropped: (name: string) => boolean): string[] {
   const named = new Set((headers.connection ?? '').split(',').map((name) => name.trim().toLowerCase()))
   const kept: string[] = []
   for (const [name, value] of Object.entries(headers)) {
-    if (value === undefined || hopByHop.has(name) || named.has(name) || name.startsWith(ownHeaderPrefix)) continue
+    if (value === undefined || hopByHop.has(name) || named.has(name) || isDropped(name)) continue
     for (const item of Array.isArray(value) ? value : [value]) kept.push(name, item)
   }
   return kept
@@ -66,12 +71,6 @@
   return undefined
 }
 
-/** Adds the headers with which a target can make outgoing calls for this request. */
-export function targetHeaders (headers: readonly string[], token: string, attempt: string): string[] {
-  const kept = headerOf(headers, 'x-request-id') === undefined ? ['x-request-id', attempt] : []
-  return [...headers, ...kept, contextHeader, token]
-}
-
 /** Adds the headers of a call between nodes. */
 export function peerHeaders (headers: readonly string[], context: string, signature: string): string[] {
   return [...headers, callHeader, context, callSignatureHeader, signature]
--- a/src/core/node/identity.ts
+++ b/src/core/node/identity.ts
@@ -1,6 +1,9 @@
-import { keyHash, parseKey } from '../auth/index.ts'
-import type { Configuration, RouteTable } from '../config/index.ts'
-import { createRouteTable } from '../config/index.ts'
+import { keyHash, parseKey, digest } from '../auth/index.ts'
+import { createRouteTable, parametersOf } from '../config/index.ts'
+import type { Configuration, EffectiveParameters, EffectiveRoute, RouteTable } from '../config/index.ts'
+import { createDeploymentTable, drawService, hostName } from '../deployment/index.ts'
+import type { DeploymentTable } from '../deployment/index.ts'
+import type { Random } from '../random/index.ts'
 
 /** Whose key came with a request. */
 export interface Identity {
@@ -8,31 +11,63 @@
   keyId: string
 }
 
-/** The configuration in the form that requests are looked up in. */
+/** The configuration in the form that requests are looked up in; it follows each revision. */
 export interface Directory {
+  /** Routes and keys of templates. */
   routes: () => RouteTable
-  /** Owner of a key in clear, or undefined for unknown and withdrawn ones. */
+  /** Owner of a key that the project made, or undefined for unknown and withdrawn ones. */
   identify: (key: string) => Identity | undefined
+  parametersOf: (workspace: string) => EffectiveParameters | undefined
+  /** The deployment in force, or undefined before the first. */
+  deployment: () => DeploymentTable | undefined
+  /** Finds the route of a deployment and draws its service. */
+  findDeployed: (host: string, pathname: string) => EffectiveRoute | undefined
+  /** Owner of a key that a deployment lists; its id is its digest. */
+  identifyDeployed: (key: string) => Identity | undefined
 }
 
-/** Creates a directory over the configuration in force; it follows each revision. */
-export function createDirectory (configuration: () => Configuration): Directory {
+/** Creates a directory over the configuration in force. */
+export function createDirectory (configuration: () => Configuration, random: Random): Directory {
   let current: Configuration | undefined
   let routes: RouteTable | undefined
-  const refresh = () => {
+  let table: DeploymentTable | undefined
+  const refreshRoutes = () => {
     const latest = configuration()
     if (latest === current && routes !== undefined) return routes
     current = latest
     routes = createRouteTable(latest)
     return routes
   }
+  const refreshTable = () => {
+    const deployment = configuration().deployments.current
+    if (table?.deployment !== deployment) table = deployment && createDeploymentTable(deployment)
+    return table
+  }
   return {
-    routes: refresh,
+    routes: refreshRoutes,
     identify (clear) {
       const keyId = parseKey(clear)
       const key = keyId === undefined ? undefined : configuration().keys[keyId]
       if (keyId === undefined || key === undefined || key.hash !== keyHash(clear)) return undefined
       return { workspace: key.workspace, keyId }
+    },
+    parametersOf (name) {
+      const { templates, workspaces } = configuration()
+      const workspace = workspaces[name]
+      const template = workspace && templates[workspace.template]
+      return template && parametersOf(template, workspace)
+    },
+    deployment: refreshTable,
+    findDeployed (host, pathname) {
+      const route = refreshTable()?.findRoute(hostName(host), pathname)
+      if (route === undefined) return undefined
+      const { name, priority, idempotent, open, timeoutMs, maxAttempts } = route
+      return { template: '', name, service: drawService(route, random), priority, idempotent, open, timeoutMs, maxAttempts }
+    },
+    identifyDeployed (clear) {
+      const keyId = digest(clear)
+      const owner = refreshTable()?.findOwner(keyId)
+      return owner && { workspace: owner.name, keyId }
     }
   }
 }
--- a/src/core/node/index.ts
+++ b/src/core/node/index.ts
@@ -1,2 +1,6 @@
+export type { Announcement, Incarnation } from './announcement.ts'
+export { callHeader, callSignatureHeader, outcomeHeader, reportHeader, runHeader } from './constants.ts'
+export type { Dialect } from './dialect.ts'
+export { answerHeaders, requestHeaders } from './headers.ts'
 export { startNode } from './node.ts'
 export type { Node, NodeOptions } from './node.ts'
--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -9,16 +9,19 @@
 import type { Environment } from '../peers/index.ts'
 import { createRateClient } from '../rate/client.ts'
 import { createCaller } from './attempts.ts'
+import type { Announcement } from './announcement.ts'
 import { callerKeepAliveMs, contextHeader, leaveGraceMs, maxHeaderBytes, ownPathPrefix } from './constants.ts'
 import { createCrashReporter } from './crashes.ts'
 import { serveCaller } from './entry.ts'
+import { ownDialect } from './dialect.ts'
+import type { Dialect } from './dialect.ts'
 import { createForwarder } from './forward.ts'
 import { createDirectory } from './identity.ts'
 import { createLocalHandler } from './local.ts'
 import { serveOutgoing } from './outgoing.ts'
 import { servePeerCall } from './peer-calls.ts'
 import { createRefusals } from './refusals.ts'
-import { createCallServer } from './serve.ts'
+import { createCallServer, createKeyCheck } from './serve.ts'
 import { createSpans } from './spans.ts'
 import { createOwnTarget } from './target.ts'
 
@@ -40,6 +43,18 @@
   secrets: string[]
   /** Longest time that a stop waits for running calls, in milliseconds. */
   stopTimeoutMs: number
+  /** Time after the start of a stop for which callers are still served on connections that they keep, in ms. Default: 5000. */
+  stopServingMs?: number
+  /** How callers and targets speak. Default: the project's own interface. */
+  dialect?: Dialect
+  /** Whether a node that has not heard of a quorum for a while refuses what needs a key. Default: true. */
+  strictKeys?: boolean
+  /** Time after a target asked for no new work for which it still gets some, in ms. Default: no end. */
+  drainMs?: number
+  /** Whether the number of requests that run at once is learnt below the announced slots. Default: true. */
+  learnsLimit?: boolean
+  /** How long callers may keep an idle connection, in ms. Default: 5000. */
+  keepAliveMs?: number
 }
 
 /** A running node. */
@@ -47,28 +62,36 @@
   listenAddress: string
   peerAddress: string
   localAddress: string
+  /** Takes in what the own target says of itself. Returns false when it is older than what is known. */
+  announce: (announcement: Announcement) => boolean
+  /** The own target said that it is gone. Returns false when another start of it is known. */
+  withdraw: (instance: string, bornAt: number | undefined) => boolean
+  /** True while callers may send to this node: it knows a configuration and does not stop. */
+  isReady: () => boolean
   /** Leaves without cutting a request, then ends. */
   stop: () => Promise<void>
 }
 
 /** Starts a node. */
 export async function startNode (options: NodeOptions, environment: Environment, hash: Hash): Promise<Node> {
-  const { clock, log, metrics } = environment
-  const { id, domain, peer: address, seeds, secrets } = options
+  const { clock, log, metrics, random } = environment
+  const { id, domain, peer: address, seeds, secrets, dialect = ownDialect, strictKeys = true, drainMs = Infinity, learnsLimit = true } = options
+  const keepAliveMs = options.keepAliveMs ?? callerKeepAliveMs
   const peers = await createPeers({ id, boot: randomId(), role: 'node', domain, address, seeds, secrets }, environment)
-  const target = createOwnTarget(peers, environment)
+  const target = createOwnTarget(peers, environment, { drainMs, learnsLimit })
   const spans = createSpans()
   const holder = serveClaims(peers, environment)
   const claims = createClaimClient(peers, environment, hash)
   const rates = createRateClient(peers, environment)
+  const keyProblem = createKeyCheck(peers, clock, { configuredBy: dialect.configuredBy, strict: strictKeys })
   const crashes = createCrashReporter(peers, target, environment)
-  const server = createCallServer({ peers, target, claims, crashes, spans, environment })
+  const server = createCallServer({ dialect, keyProblem, peers, target, claims, crashes, spans, environment })
   const forwarder = createForwarder(peers, environment)
   const caller = createCaller(peers, server, forwarder, environment)
-  const directory = createDirectory(peers.configuration)
-  const refusals = createRefusals(claims)
-  const entry = { peers, directory, rates, caller, refusals, environment }
-  const outgoing = { peers, directory, spans, caller, refusals, environment }
+  const directory = createDirectory(peers.configuration, random)
+  const refusals = createRefusals(claims, dialect, random)
+  const entry = { dialect, peers, directory, rates, caller, refusals, keyProblem, environment }
+  const outgoing = { dialect, keyProblem, peers, directory, spans, caller, refusals, environment }
   let active = 0
   let stopping = false
 
@@ -94,7 +117,7 @@
     track(response, serveOutgoing(request, response, outgoing))
   }
   const limits = { maxHeaderSize: maxHeaderBytes, requestTimeout: 30_000, headersTimeout: 10_000 }
-  const callers = createServer({ ...limits, keepAliveTimeout: callerKeepAliveMs }, serveEntry)
+  const callers = createServer({ ...limits, keepAliveTimeout: keepAliveMs }, serveEntry)
   const local = createServer({ ...limits, keepAliveTimeout: 60_000 }, serveLocal)
   const listenAddress = await listen(callers, options.listen)
   const localAddress = await listen(local, options.local)
@@ -114,8 +137,7 @@
   const reporting = setInterval(reportState, reportStateMs)
   peers.onConfiguration(reportState)
 
-  const waitUntilIdle = async () => {
-    const until = clock.now() + options.stopTimeoutMs
+  const waitUntilIdle = async (until: number) => {
     while (active > 0 && clock.now() < until) await pause(stopPollMs)
     if (active > 0) log.warn('stop timeout passed with calls running', { active })
   }
@@ -130,16 +152,21 @@
     listenAddress,
     peerAddress: peers.address,
     localAddress,
+    announce: target.announce,
+    withdraw: target.withdraw,
+    isReady: () => !stopping && (dialect.configuredBy === 'templates' || directory.deployment() !== undefined),
     async stop () {
       log.info('node leaves', { id })
+      const startedAt = clock.now()
+      const servesUntil = startedAt + (options.stopServingMs ?? callerKeepAliveMs)
+      const endsAt = startedAt + options.stopTimeoutMs
       stopping = true
       target.leave()
       peers.prepareLeave()
       await pause(leaveGraceMs)
       server.stop()
-      await waitUntilIdle()
-      await pause(callerKeepAliveMs - leaveGraceMs)
-      await waitUntilIdle()
+      await pause(Math.max(0, servesUntil - clock.now()))
+      await waitUntilIdle(endsAt)
       await waitForHandover()
       await closeServer(callers)
       peers.announceLeave()
--- a/src/core/node/outgoing.ts
+++ b/src/core/node/outgoing.ts
@@ -6,12 +6,13 @@
 import { fingerprintOf } from '../quarantine/index.ts'
 import type { Caller } from './attempts.ts'
 import { readBody } from './body.ts'
-import { contextHeader, maxDepth } from './constants.ts'
+import { contextHeader, maxBodyBytes, maxDepth } from './constants.ts'
 import { requestDigest } from './entry.ts'
-import { headerOf, requestHeaders } from './headers.ts'
+import type { Dialect } from './dialect.ts'
+import { headerOf } from './headers.ts'
 import type { Directory } from './identity.ts'
 import type { Refusals } from './refusals.ts'
-import { keyProblem } from './serve.ts'
+import type { KeyCheck } from './serve.ts'
 import { createResponseSink, writeFailure } from './sinks.ts'
 import { beginChild, countOccurrence, endChild } from './spans.ts'
 import type { Span, Spans } from './spans.ts'
@@ -20,6 +21,8 @@
 
 /** What outgoing calls of the own target work with. */
 export interface OutgoingContext {
+  keyProblem: KeyCheck
+  dialect: Dialect
   peers: Peers
   directory: Directory
   spans: Spans
@@ -30,20 +33,20 @@
 
 /** The outgoing call as its parent's context allows it, or why it may not run. */
 function createChild (request: IncomingMessage, span: Span, body: Buffer, context: OutgoingContext): Call | Failure {
-  const { directory, peers, environment } = context
+  const { directory, environment } = context
   const parent = span.context
   const now = environment.clock.now()
   const method = request.method ?? 'GET'
   const path = request.url ?? '/'
   const pathname = path.split('?', 1)[0]
-  const unauthorized = keyProblem(parent, peers, now)
+  const unauthorized = context.keyProblem(parent)
   if (unauthorized !== undefined) return unauthorized
   if (span.cancellation.cancelled) return fail('deadline', { stage: 'before the outgoing call' })
   if (parent.depth + 1 > maxDepth) return fail('badRequest', { reason: `the chain is deeper than ${maxDepth} calls` })
   const routes = directory.routes()
   const route = parent.workspace === null ? routes.findOpen(method, pathname) : routes.find(parent.workspace, method, pathname) ?? routes.findOpen(method, pathname)
   if (route === undefined) return fail('unknownRoute', { method, path: pathname })
-  const headers = requestHeaders(request.rawHeaders)
+  const headers = context.dialect.requestHeaders(request.rawHeaders, parent.workspace)
   const bodyDigest = requestDigest(method, path, body)
   const given = headerOf(headers, 'idempotency-key')
   const occurrence = countOccurrence(span, `${route.name}/${bodyDigest}`)
@@ -61,6 +64,8 @@
       priority: parent.priority,
       weight: parent.weight,
       idempotent: route.idempotent,
+      needsClaim: !route.idempotent,
+      host: null,
       digest: bodyDigest,
       fingerprint: fingerprintOf({ workspace: parent.workspace ?? '', route: route.name, method, path, bodyDigest }),
       suspect: false,
@@ -85,7 +90,7 @@
   if (span === undefined) {
     return writeFailure(response, fail('badRequest', { reason: `${contextHeader} names no request that runs here` }), 'not-run')
   }
-  const body = await readBody(request)
+  const body = await readBody(request, maxBodyBytes)
   if (!body.ok) return writeFailure(response, body, 'not-run')
   const child = createChild(request, span, body.value, context)
   if ('ok' in child) return writeFailure(response, child, 'not-run')
--- a/src/core/node/peer-calls.ts
+++ b/src/core/node/peer-calls.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Environment, Peers } from '../peers/index.ts'
 import { readBody } from './body.ts'
-import { callHeader, callSignatureHeader } from './constants.ts'
+import { callHeader, callSignatureHeader, maxPeerBodyBytes } from './constants.ts'
 import { parseContext, signedText } from './context.ts'
 import { requestHeaders } from './headers.ts'
 import type { CallServer } from './serve.ts'
@@ -9,6 +9,8 @@
 import { createCancellation } from './types.ts'
 import type { Call } from './types.ts'
 
+const isPeerHeader = (name: string) => name === callHeader || name === callSignatureHeader
+
 /** Serves a call that another node passes on. */
 export async function servePeerCall (
   request: IncomingMessage, response: ServerResponse, peers: Peers, server: CallServer, { clock, metrics }: Environment
@@ -23,10 +25,10 @@
     return void response.writeHead(401, { connection: 'close' }).end()
   }
   const deadlineAt = clock.now() + context.remainingMs
-  const body = await readBody(request)
+  const body = await readBody(request, maxPeerBodyBytes)
   if (!body.ok) return void response.destroy()
   const call: Call = {
-    context, method, path, headers: requestHeaders(request.rawHeaders), body: body.value, deadlineAt, cancellation: createCancellation()
+    context, method, path, headers: requestHeaders(request.rawHeaders, isPeerHeader), body: body.value, deadlineAt, cancellation: createCancellation()
   }
   response.once('close', () => {
     if (!response.writableFinished) call.cancellation.cancel()
--- a/src/core/node/serve.ts
+++ b/src/core/node/serve.ts
@@ -2,6 +2,7 @@
 import type { ClaimClient, HeldClaim } from '../claims/client.ts'
 import { maxKeptAnswerBytes } from '../claims/index.ts'
 import type { KeptAnswer } from '../claims/index.ts'
+import type { Clock } from '../clock/index.ts'
 import { fail } from '../errors/index.ts'
 import type { Failure } from '../errors/index.ts'
 import { checkFresh } from '../freshness/index.ts'
@@ -9,13 +10,17 @@
 import type { CrashReporter } from './crashes.ts'
 import { sendExchange } from './exchange.ts'
 import type { ExchangeError } from './exchange.ts'
-import { answerHeaders, headerOf, targetHeaders } from './headers.ts'
+import type { Dialect } from './dialect.ts'
+import { headerOf } from './headers.ts'
 import { createLane } from './lane.ts'
 import type { Span, Spans } from './spans.ts'
 import type { OwnTarget } from './target.ts'
 import { emptyReport } from './types.ts'
 import type { Attempted, Call, CallContext, Report, Sink } from './types.ts'
 
+/** Status of an answer from a target that is not the one that was meant. */
+const misdirectedStatus = 421
+
 /** Serves calls with the own target. */
 export interface CallServer {
   serve: (call: Call, sink: Sink) => Promise<Attempted>
@@ -26,6 +31,8 @@
 
 /** What the serving side works with. */
 export interface ServeContext {
+  dialect: Dialect
+  keyProblem: KeyCheck
   peers: Peers
   target: OwnTarget
   claims: ClaimClient
@@ -35,13 +42,29 @@
 }
 
 /** Says why a call may not run for the key that came with it, or undefined. */
-export function keyProblem (context: Pick<CallContext, 'workspace' | 'keyId'>, peers: Peers, now: number): Failure | undefined {
-  if (context.workspace === null) return undefined
-  const fresh = checkFresh(peers.freshness, now)
-  if (!fresh.ok) return fresh
-  const key = peers.configuration().keys[context.keyId ?? '']
-  if (key?.workspace === context.workspace) return undefined
-  return fail('unauthorized', { reason: 'the key was withdrawn' })
+export type KeyCheck = (context: Pick<CallContext, 'workspace' | 'keyId'>) => Failure | undefined
+
+/** How keys are checked. */
+export interface KeyCheckOptions {
+  configuredBy: Dialect['configuredBy']
+  /** A node that has not heard of a quorum for a while refuses calls that need a key. */
+  strict: boolean
+}
+
+/**
+ * Creates the check of keys. Keys of a deployment are looked up where the request comes in only: another
+ * node may not have the version yet that brought the key.
+ */
+export function createKeyCheck (peers: Peers, clock: Clock, { configuredBy, strict }: KeyCheckOptions): KeyCheck {
+  return ({ workspace, keyId }) => {
+    if (workspace === null) return undefined
+    const fresh = checkFresh(peers.freshness, clock.now())
+    if (strict && !fresh.ok) return fresh
+    if (configuredBy === 'deployment') return undefined
+    const key = peers.configuration().keys[keyId ?? '']
+    if (key?.workspace === workspace) return undefined
+    return fail('unauthorized', { reason: 'the key was withdrawn' })
+  }
 }
 
 /** Says until when a fingerprint is refused, or undefined. */
@@ -59,7 +82,7 @@
 
 /** Creates the serving side of a node. */
 export function createCallServer (context: ServeContext): CallServer {
-  const { peers, target, claims, crashes, spans, environment } = context
+  const { dialect, keyProblem, peers, target, claims, crashes, spans, environment } = context
   const { clock, metrics } = environment
   const suspects = createLane()
   let stopped = false
@@ -67,9 +90,9 @@
   let echoesRequestId = false
 
   const report = (span?: Span): Report => ({ used: span?.budget.used ?? 0, load: target.gate.load(), shed: span?.shed ?? false })
-  const refuse = (failure: Failure, elsewhere: boolean): Attempted => {
-    const shed = failure.code === 'overloaded'
-    return { type: 'refused', failure, elsewhere, report: { ...emptyReport, load: target.gate.load(), shed } }
+  const refuse = (failure: Failure, elsewhere: boolean, arrived = false): Attempted => {
+    const shed = failure.code === 'overloaded' || arrived
+    return { type: 'refused', failure, elsewhere, arrived, report: { ...emptyReport, load: target.gate.load(), shed } }
   }
   const failed = (failure: Failure, crashed: boolean, span?: Span): Attempted => ({ type: 'failed', failure, crashed, report: report(span) })
 
@@ -77,10 +100,10 @@
     const { service, fingerprint } = call.context
     const now = clock.now()
     if (stopped) return { failure: fail('leaving'), elsewhere: true }
-    if (target.current()?.service !== service || target.current()?.state === 'down') return { failure: fail('noTarget', { service }), elsewhere: true }
+    if (target.current()?.service !== service || !target.takesWork()) return { failure: fail('noTarget', { service }), elsewhere: true }
     const banned = banProblem(fingerprint, peers, clock.date())
     if (banned !== undefined) return { failure: banned, elsewhere: false }
-    const unauthorized = keyProblem(call.context, peers, now)
+    const unauthorized = keyProblem(call.context)
     if (unauthorized !== undefined) return { failure: unauthorized, elsewhere: unauthorized.code === 'stale' }
     if (call.deadlineAt <= now) return { failure: fail('deadline', { stage: 'before the target was reached' }), elsewhere: false }
     return undefined
@@ -102,7 +125,7 @@
     const { attempt, priority, workspace, weight, service } = call.context
     const { gate } = target
     const arrivedAt = clock.now()
-    const entering = gate.enter({ id: attempt, priority, workspace: workspace ?? '', weight, arrivedAt, deadlineAt: call.deadlineAt })
+    const entering = gate.enter({ id: attempt, kind: call.context.route, priority, workspace: workspace ?? '', weight, arrivedAt, deadlineAt: call.deadlineAt })
     const stopListening = call.cancellation.listen(() => gate.cancel(attempt))
     const admittance = entering instanceof Promise ? await entering : entering
     stopListening()
@@ -119,7 +142,7 @@
       gate.exit(undefined)
       return refuse(late.failure, late.elsewhere)
     }
-    return call.context.idempotent ? await run(call, sink, undefined) : await claimAndRun(call, sink)
+    return call.context.needsClaim ? await claimAndRun(call, sink) : await run(call, sink, undefined)
   }
 
   const claimAndRun = async (call: Call, sink: Sink): Promise<Attempted> => {
@@ -155,8 +178,10 @@
     const pool = target.pool()
     const span = spans.open(call.context, call.deadlineAt)
     const startedAt = clock.now()
-    const headers = targetHeaders(call.headers, span.token, call.context.attempt)
-    const requestId = headerOf(headers, 'x-request-id')
+    const instance = target.instance()
+    const headers = dialect.targetHeaders(call, { token: span.token, instance, remainingMs: call.deadlineAt - startedAt })
+    const requestId = headerOf(headers, dialect.requestIdHeader)
+    let turnedAway = false
     const kept: Buffer[] = []
     let keptBytes = 0
     let status = 0
@@ -165,7 +190,7 @@
     const conclude = (attempted: Attempted, sample: { failed: boolean } | undefined) => {
       running--
       const latencyMs = clock.now() - startedAt - span.childMs
-      target.gate.exit(sample && { latencyMs, failed: sample.failed })
+      target.gate.exit(sample && { kind: call.context.route, latencyMs, failed: sample.failed })
       spans.close(span)
       metrics.time('target', clock.now() - startedAt)
       resolve(attempted)
@@ -178,19 +203,22 @@
       headers,
       body: call.body,
       timeoutMs: Math.max(1, call.deadlineAt - startedAt),
-      cancellation: claim === undefined ? call.cancellation : undefined
+      cancellation: call.context.idempotent ? call.cancellation : undefined
     }, {
       head (code, received) {
-        const echoed = received['x-request-id']
+        const echoed = received[dialect.requestIdHeader]
         if (echoed === requestId) echoesRequestId = true
         else if (echoesRequestId && echoed !== undefined) return false
-        if (!hasDefiniteEnd(call.method, code, received)) return false
+        if (!dialect.acceptsUnframed && !hasDefiniteEnd(call.method, code, received)) return false
         status = code
-        answer = answerHeaders(received)
+        turnedAway = dialect.saysNotRun(code, received)
+        if (turnedAway) return true
+        answer = dialect.answerHeaders(received)
         sink.head(code, answer, report(span))
         return true
       },
       data (chunk, resume) {
+        if (turnedAway) return true
         if (claim !== undefined && keptBytes <= maxKeptAnswerBytes) kept.push(chunk)
         keptBytes += chunk.length
         if (sink.write(chunk)) return true
@@ -198,6 +226,7 @@
         return false
       },
       end () {
+        if (turnedAway) return conclude(turnAway(status, instance, claim), { failed: true })
         sink.end()
         crashes.completed(call.context.fingerprint)
         if (claim !== undefined) complete(claim, status, answer, keptBytes <= maxKeptAnswerBytes ? Buffer.concat(kept) : undefined)
@@ -209,6 +238,13 @@
     })
   })
 
+  /** The target said that it did not run the request, so that another may. */
+  const turnAway = (status: number, instance: string | undefined, claim: HeldClaim | undefined): Attempted => {
+    if (claim !== undefined) claims.release(claim)
+    if (status === misdirectedStatus) target.lost(instance)
+    return refuse(fail('notExecuted', { status }), true, true)
+  }
+
   const complete = (claim: HeldClaim, status: number, headers: string[], body: Buffer | undefined) => {
     const answer = body && { status, headers, body: body.toString('base64') }
     claims.complete(claim, { type: 'done', status, answer })
@@ -223,10 +259,11 @@
       const wasCancelled = error.cause === 'cancelled'
       return { attempted: refuse(fail('noTarget', { service }), !wasCancelled), sample: wasCancelled ? undefined : { failed: true } }
     }
-    if (error.answered) sink.abort()
+    const headSent = error.answered && sink.started()
+    if (headSent) sink.abort()
     const crashed = error.cause === 'broken' && await crashes.broke(fingerprint)
     const sample = error.cause === 'cancelled' ? undefined : { failed: true }
-    if (error.answered) return { attempted: { type: 'broken', report: report(span) } satisfies Attempted, sample }
+    if (headSent) return { attempted: { type: 'broken', report: report(span) } satisfies Attempted, sample }
     const failure = error.cause === 'timeout' ? fail('deadline', { stage: 'while the target worked' }) : fail('brokenAnswer', { reason: error.reason })
     return { attempted: failed(failure, crashed, span), sample }
   }
--- a/src/core/node/sinks.ts
+++ b/src/core/node/sinks.ts
@@ -5,8 +5,11 @@
 
 /** Writes an answer to the response of a caller or of a peer node. */
 export function createResponseSink (response: ServerResponse, forPeer: boolean): Sink {
+  let started = false
   return {
+    started: () => started,
     head (status, headers, report) {
+      started = true
       const own = forPeer ? [outcomeHeader, 'answered', reportHeader, JSON.stringify(report)] : []
       response.writeHead(status, [...headers, ...own])
     },
@@ -20,14 +23,13 @@
   }
 }
 
-const retryAfterSeconds = '1'
 const laterStatuses = new Set([429, 503])
 
 /** Answers a caller with a failure. The run header says whether the request may have run. */
-export function writeFailure (response: ServerResponse, failure: Failure, run: string): void {
+export function writeFailure (response: ServerResponse, failure: Failure, run: string, retryAfterMs = 1000): void {
   const body = JSON.stringify({ error: failure.name, message: failure.message, hint: failure.hint, run })
   const headers: Record<string, string> = { 'content-type': 'application/json', 'content-length': String(Buffer.byteLength(body)), [runHeader]: run }
-  if (laterStatuses.has(failure.status)) headers['retry-after'] = retryAfterSeconds
+  if (laterStatuses.has(failure.status)) headers['retry-after'] = String(Math.max(1, Math.round(retryAfterMs / 1000)))
   response.writeHead(failure.status, headers).end(body)
 }
 
@@ -36,6 +38,7 @@
   type: 'refused' | 'failed'
   failure: Failure
   elsewhere: boolean
+  arrived: boolean
   crashed: boolean
   report: Report
 }
@@ -47,6 +50,7 @@
     type: attempted.type,
     failure: attempted.failure,
     elsewhere: attempted.type === 'refused' && attempted.elsewhere,
+    arrived: attempted.type === 'refused' && attempted.arrived,
     crashed: attempted.type === 'failed' && attempted.crashed,
     report: attempted.report
   }
--- a/src/core/node/types.ts
+++ b/src/core/node/types.ts
@@ -19,6 +19,10 @@
   priority: number
   weight: number
   idempotent: boolean
+  /** A claim must be held before the request runs. */
+  needsClaim: boolean
+  /** Host header for the target, or null when it gets the target's own address. */
+  host: string | null
   /** SHA-256 over method, path and body. */
   digest: string
   fingerprint: string
@@ -71,6 +75,8 @@
   head: (status: number, headers: string[], report: Report) => void
   /** Returns false when the receiver wants a pause. */
   write: (chunk: Uint8Array) => boolean
+  /** True once the head was passed on. */
+  started: () => boolean
   onDrain: (listener: () => void) => void
   end: () => void
   /** Breaks an answer off so that its receiver sees that it is not whole. */
@@ -80,8 +86,8 @@
 /** How an attempt ended. */
 export type Attempted =
   | { type: 'answered', status: number, report: Report }
-  /** Not run. `elsewhere` is true when another target may do better. */
-  | { type: 'refused', failure: Failure, elsewhere: boolean, report: Report }
+  /** Not run. `elsewhere` is true when another target may do better, `arrived` when a target saw the request and turned it away. */
+  | { type: 'refused', failure: Failure, elsewhere: boolean, arrived: boolean, report: Report }
   /** May have run. */
   | { type: 'failed', failure: Failure, crashed: boolean, report: Report }
   /** The answer began and was broken off. */
--- a/src/core/peers/peers.ts
+++ b/src/core/peers/peers.ts
@@ -11,12 +11,15 @@
 import type { Effect, Event, Member, Packet, State, Target } from '../membership/index.ts'
 import { acceptBeacon, advanceRevision, beaconAge, createFreshness } from '../freshness/index.ts'
 import type { Beacon, Freshness } from '../freshness/index.ts'
-import { applyDeltas, emptyConfiguration, newer } from '../config/index.ts'
+import { applyDeltas, dropSuperseded, emptyConfiguration, newer } from '../config/index.ts'
 import type { Configuration, Delta } from '../config/index.ts'
 import { createDatagrams, createRpcClient, createRpcServer, rpcPath } from '../rpc/index.ts'
 import type { Datagrams, RpcClient, RpcServer } from '../rpc/index.ts'
 import { closeServer, listen } from '../http/index.ts'
 
+/** Deltas kept to answer others that are a little behind. */
+const keptDeltas = 128
+
 const tickMs = 40
 const beaconFanout = 3
 const fetchTimeoutMs = 2000
@@ -157,7 +160,7 @@
   const install = (next: Configuration, added: readonly Delta[]) => {
     if (next.revision <= configuration.revision) return
     configuration = next
-    deltas = [...deltas, ...added].slice(-128)
+    deltas = dropSuperseded([...deltas, ...added].slice(-keptDeltas))
     advanceRevision(freshness, configuration.revision)
     for (const listener of configurationListeners) listener(configuration)
   }
--- a/src/core/registry/changes.ts
+++ b/src/core/registry/changes.ts
@@ -1,3 +1,5 @@
+import { digest } from '../auth/index.ts'
+import { deploymentProblem } from '../deployment/index.ts'
 import { fail, succeed } from '../errors/index.ts'
 import type { Failure, Outcome } from '../errors/index.ts'
 import type { Change, Difference, Template, Versioned, Workspace } from '../config/index.ts'
@@ -170,6 +172,32 @@
   })
 }
 
+/** What the audit trail shows of a deployment; the document itself holds keys. */
+function deploymentSummary (version: number, source: string): { version: number, sha256: string } {
+  return { version, sha256: digest(source) }
+}
+
+function planDeployment (registry: Registry, change: ChangeOf<'deployment'>): Outcome<Plan> {
+  const known = registry.deployment
+  const current = known?.value.version ?? 0
+  const problem = deploymentProblem(change.value)
+  if (problem !== undefined) return invalid(problem)
+  if (change.expectRevision === current && change.value.version <= current) {
+    return invalid(`version ${change.value.version} is not above ${current}`)
+  }
+  return succeed({
+    item: 'deployment',
+    current,
+    changedBy: known?.changedBy ?? 'nobody',
+    before: known && deploymentSummary(current, known.source),
+    after: deploymentSummary(change.value.version, change.source),
+    write (_revision, changedBy) {
+      registry.deployment = { changedBy, value: change.value, source: change.source }
+      return [{ collection: 'deployments', name: 'current', value: change.value }]
+    }
+  })
+}
+
 /** Checks a change against the schema's meaning and against what depends on it. */
 export function planChange (registry: Registry, change: Change): Outcome<Plan> {
   switch (change.kind) {
@@ -179,6 +207,7 @@
     case 'key-withdraw': return planKeyWithdraw(registry, change)
     case 'operator-give': return planOperatorGive(registry, change)
     case 'operator-withdraw': return planOperatorWithdraw(registry, change)
+    case 'deployment': return planDeployment(registry, change)
     case 'quarantine-release': return planRelease(registry, change)
   }
 }
--- a/src/core/registry/registry.ts
+++ b/src/core/registry/registry.ts
@@ -1,5 +1,6 @@
 import { digest } from '../auth/index.ts'
 import { fail, succeed } from '../errors/index.ts'
+import { dropSuperseded } from '../config/index.ts'
 import type { Change, ClaimSlot, Configuration, Difference, Key, Versioned } from '../config/index.ts'
 import { applyReady, isNewerSlot } from '../claims/placement.ts'
 import { appendAudit } from './audit.ts'
@@ -47,6 +48,7 @@
 function nextRevision (registry: Registry, differences: Difference[]): void {
   registry.revision++
   registry.deltas.push({ revision: registry.revision, differences })
+  if (differences.some(({ collection }) => collection === 'deployments')) registry.deltas = dropSuperseded(registry.deltas)
   if (registry.deltas.length > maxDeltas) registry.deltas.shift()
 }
 
@@ -65,10 +67,19 @@
     return first.digest === changeDigest ? first.result : fail('changeIdReused', { changeId: change.changeId })
   }
   const result = decideChange(registry, operator, at, change)
+  if (isRepeatable(change, result)) return result
   remember(registry, change.changeId, changeDigest, result)
   return result
 }
 
+/**
+ * True for a refused deployment: its change id is the digest of its document, which the operator may
+ * send again when it has become right, so that only its acceptance is remembered.
+ */
+function isRepeatable (change: Change, result: Result): boolean {
+  return change.kind === 'deployment' && !result.ok
+}
+
 function decideChange (registry: Registry, operator: string, at: number, change: Change): Result {
   const plan = planChange(registry, change)
   const base = { at: new Date(at).toISOString(), operator, changeId: change.changeId, kind: change.kind, name: change.name }
@@ -173,6 +184,7 @@
     workspaces: valuesOf(registry.workspaces),
     keys: validKeys(registry),
     slots: { ...registry.slots },
-    bans: { ...registry.bans }
+    bans: { ...registry.bans },
+    deployments: registry.deployment === undefined ? {} : { current: registry.deployment.value }
   }
 }
--- a/src/core/registry/types.ts
+++ b/src/core/registry/types.ts
@@ -1,3 +1,4 @@
+import type { Deployment } from '../deployment/index.ts'
 import type { Ban, Change, ClaimSlot, Configuration, Delta, Key, Operator, Template, Versioned, Workspace } from '../config/index.ts'
 import type { Failure } from '../errors/index.ts'
 
@@ -50,6 +51,14 @@
   targets: string[]
 }
 
+/** A deployment as it rests. */
+export interface StoredDeployment {
+  changedBy: string
+  value: Deployment
+  /** The document as the operator sent it. */
+  source: string
+}
+
 /** Replicated state of the control group. */
 export interface Registry {
   revision: number
@@ -59,6 +68,8 @@
   operators: Record<string, Versioned<Operator>>
   slots: Record<string, ClaimSlot>
   bans: Record<string, Ban>
+  /** The deployment in force, with its document as it was sent. */
+  deployment?: StoredDeployment
   crashes: Record<string, CrashRecord>
   answered: Record<string, Answered>
   /** Change ids in the order of their first answers. */
--- a/src/core/settings/schema.ts
+++ b/src/core/settings/schema.ts
@@ -89,6 +89,12 @@
   members: setting({ flag: '--members', variable: 'DOGWOODSPRING_MEMBERS', description: 'Members of a new control group; ignored once the data folder holds a log', unit: 'ID=IP:PORT,…', fallback: '', example: 'c1=10.0.0.1:7000,c2=10.0.1.1:7000,c3=10.0.2.1:7000', schema: members }),
   /** Whether the instance joins a running group. Default: false. */
   join: setting({ flag: '--join', variable: 'DOGWOODSPRING_JOIN', description: 'Wait to be added to a running control group', unit: 'true or false', fallback: 'false', example: 'true', schema: flag }),
+  /** Whether the group keeps itself complete. Default: false. */
+  autoMembers: setting({ flag: '--auto-members', variable: 'DOGWOODSPRING_AUTO_MEMBERS', description: 'Take control instances that are found into the group and replace lost ones without an operator', unit: 'true or false', fallback: 'false', example: 'true', schema: flag }),
+  /** With auto-members: whether the whole system starts for the first time. Default: false. */
+  bootstrap: setting({ flag: '--bootstrap', variable: 'DOGWOODSPRING_BOOTSTRAP', description: 'With --auto-members: the whole system starts for the first time, with empty disks', unit: 'true or false', fallback: 'false', example: 'true', schema: flag }),
+  /** Whether claims for non-idempotent requests are placed. Default: true. */
+  claims: setting({ flag: '--claims', variable: 'DOGWOODSPRING_CLAIMS', description: 'Place claims for non-idempotent requests among the nodes', unit: 'true or false', fallback: 'true', example: 'false', schema: flag }),
   /** Token of the first operator. */
   operatorToken: setting({ flag: '--operator-token', variable: 'DOGWOODSPRING_OPERATOR_TOKEN', description: 'Token of the first operator, created when the group has none', unit: 'text', fallback: '', example: 'a-long-random-text', schema: v.string() }),
   /** Longest time that a stop waits for running calls. Default: 30000 ms. */
--- a/test/admission/admission.test.ts
+++ b/test/admission/admission.test.ts
@@ -5,7 +5,7 @@
 import type { Admission, Decision, Entry } from '../../src/core/admission/index.ts'
 
 function entry (id: string, changes: Partial<Entry> = {}): Entry {
-  return { id, priority: 2, workspace: 'w', weight: 1, arrivedAt: 0, deadlineAt: 10_000, ...changes }
+  return { id, kind: 'k', priority: 2, workspace: 'w', weight: 1, arrivedAt: 0, deadlineAt: 10_000, ...changes }
 }
 
 function full (slots: number): Admission {
@@ -36,7 +36,7 @@
     }
     for (const step of steps) {
       if (step.type === 'offer') note(offer(admission, entry(`r${offered++}`, { ...step, arrivedAt: now, deadlineAt: now + step.deadline }), now))
-      if (step.type === 'finish' && admission.running > 0) note(finish(admission, step, now))
+      if (step.type === 'finish' && admission.running > 0) note(finish(admission, { ...step, kind: 'k' }, now))
       if (step.type === 'tick') note(sweepAdmission(admission, now += step.ms))
       if (step.type === 'withdraw' && admission.queue.length > 0) settled.set(admission.queue[0].id, String(withdraw(admission, admission.queue[0].id)))
       assert.ok(admission.running >= 0 && admission.limit.value <= 6)
@@ -74,7 +74,7 @@
 
 test('work that cannot end in time is not begun', () => {
   const admission = full(4)
-  admission.typicalMs = 100
+  admission.typicalMs.set('k', 100)
   assert.deepEqual(offer(admission, entry('late', { deadlineAt: 50 }), 1).shed, [{ id: 'late', reason: 'too-late' }])
 })
 
--- a/test/consensus/core.test.ts
+++ b/test/consensus/core.test.ts
@@ -17,7 +17,7 @@
   const state = createState('a', { hardState: { term: 0, votedFor: null }, snapshot, entries: [] }, 0, random)
   receive(state, 'b', { type: 'timeout-now', term: 0 })
   receive(state, 'b', { type: 'vote-reply', term: 1, granted: true })
-  receive(state, 'b', { type: 'append-reply', term: 1, ok: true, match: 1, sentAt: 10_000 })
+  receive(state, 'b', { type: 'append-reply', term: 1, ok: true, match: 1, sentAt: 10_000, round: 0 })
   assert.deepEqual([state.role, state.commit], ['leader', 1])
   return state
 }
@@ -25,7 +25,7 @@
 test('follower that lost what it acknowledged is not flooded', () => {
   const leader = createLeader()
   for (let count = 0; count < 3; count++) {
-    assert.deepEqual(receive(leader, 'b', { type: 'append-reply', term: 1, ok: false, match: 0, sentAt: 10_000 }), [])
+    assert.deepEqual(receive(leader, 'b', { type: 'append-reply', term: 1, ok: false, match: 0, sentAt: 10_000, round: 0 }), [])
   }
 })
 
--- a/test/node/auth.test.ts
+++ b/test/node/auth.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { createSealer, issueKey, parseKey } from '../../src/core/auth/index.ts'
-import { holdsKey, requestHeaders } from '../../src/core/node/headers.ts'
+import { ownDialect } from '../../src/core/node/dialect.ts'
+import { holdsKey } from '../../src/core/node/headers.ts'
 
 const secret = 'a-secret-of-the-cluster'
 const now = new Date(1_700_000_000_000)
@@ -31,7 +32,7 @@
   const { clear } = issueKey()
   assert.ok(parseKey(clear))
   const raw = ['Authorization', `Bearer ${clear}`, 'X-Key', clear, 'Connection', 'close, X-Hop', 'X-Hop', '1', 'X-Dogwoodspring-Context', 'c', 'Accept', '*/*']
-  assert.deepEqual(requestHeaders(raw), ['accept', '*/*'])
+  assert.deepEqual(ownDialect.requestHeaders(raw, null), ['accept', '*/*'])
   assert.equal(holdsKey(encodeURIComponent(`?k=${clear.replace('_', '%5F')}`)), true)
   assert.equal(holdsKey(`/x?k=${clear.replace('_', '%5F')}`), true)
 })
--- a/test/node/serve.test.ts
+++ b/test/node/serve.test.ts
@@ -9,6 +9,7 @@
 import { createFreshness } from '../../src/core/freshness/index.ts'
 import { silentLog } from '../../src/core/log/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
+import { ownDialect } from '../../src/core/node/dialect.ts'
 import { createGate } from '../../src/core/node/gate.ts'
 import { createCallServer } from '../../src/core/node/serve.ts'
 import { createSpans } from '../../src/core/node/spans.ts'
@@ -47,6 +48,7 @@
       received.text += Buffer.from(chunk).toString()
       return true
     },
+    started: () => received.status > 0,
     onDrain () {},
     end: () => void (received.ended = true),
     abort: () => void (received.aborted = true)
@@ -67,6 +69,8 @@
       priority: 2,
       weight: 1,
       idempotent: true,
+      needsClaim: false,
+      host: null,
       digest: '',
       fingerprint: id,
       suspect: false,
@@ -90,18 +94,21 @@
   const { port } = raw.address() as AddressInfo
   const origin = `http://127.0.0.1:${port}`
   const pool = new Pool(origin, { connections: 1, pipelining: 1 })
-  const gate = createGate(8, systemClock)
+  const gate = createGate(8, systemClock, true)
   const target = {
     gate,
     current: () => ({ service: 's', slots: 8, connections: 1, state: 'up', startedAt: 0 }),
     pool: () => pool,
     origin: () => origin,
-    probe: async () => true
+    probe: async () => true,
+    instance: () => undefined,
+    takesWork: () => true,
+    lost () {}
   } as unknown as OwnTarget
   const peers = { freshness: createFreshness(), configuration: emptyConfiguration } as unknown as Peers
   const environment = { clock: systemClock, random: createRandom(1), log: silentLog, metrics: createMetrics() }
   const crashes = { completed () {}, broke: async () => false }
-  const server = createCallServer({ peers, target, claims: {} as ClaimClient, crashes, spans: createSpans(), environment })
+  const server = createCallServer({ dialect: ownDialect, keyProblem: () => undefined, peers, target, claims: {} as ClaimClient, crashes, spans: createSpans(), environment })
   try {
     await use(async (id) => {
       const received: Received = { status: 0, text: '', ended: false, aborted: false }
