--- a/src/cli/control/index.ts
+++ b/src/cli/control/index.ts
@@ -21,6 +21,7 @@
   autoMembers = flag('autoMembers')
   bootstrap = flag('bootstrap')
   claims = flag('claims')
+  rateWindowMs = flag('rateWindowMs')
   seeds = flag('seeds')
   secrets = flag('secrets')
   operatorToken = flag('operatorToken')
@@ -28,7 +29,7 @@
 
   async execute (): Promise<number> {
     const options = checkSettings(
-      ['id', 'domain', 'peer', 'admin', 'data', 'members', 'join', 'autoMembers', 'bootstrap', 'claims', 'seeds', 'secrets', 'operatorToken', 'jsonLog'], this)
+      ['id', 'domain', 'peer', 'admin', 'data', 'members', 'join', 'autoMembers', 'bootstrap', 'claims', 'rateWindowMs', 'seeds', 'secrets', 'operatorToken', 'jsonLog'], this)
     if (options === undefined) return usageExitCode
     const { startControl } = await import('../../core/control/index.ts')
     const { loadHash } = await import('../../core/hash/index.ts')
--- a/src/core/control/control.ts
+++ b/src/core/control/control.ts
@@ -11,7 +11,7 @@
 import { closeServer, listen } from '../http/index.ts'
 import { createPeers } from '../peers/index.ts'
 import type { Environment, Peers } from '../peers/index.ts'
-import { createLedger, decideGrant, openAccount } from '../rate/index.ts'
+import { createLedger, decideGrant, openAccount, spreadBurst } from '../rate/index.ts'
 import type { Demand, Grant, Ledger } from '../rate/index.ts'
 import { applyCommand, configurationOf, createRegistry } from '../registry/index.ts'
 import type { Command, Registry } from '../registry/index.ts'
@@ -105,17 +105,23 @@
   }
   peers.datagrams.method('node.report', (report: NodeReport) => admin.reports.take(report, clock.now()))
   const isLeader = () => holdsLease(group.state, clock.now()) && isCurrent(group.state)
-  const handleOrForward = async (request: AdminRequest): Promise<AdminAnswer> => {
+  /** Address of the leader: by the log, or by its beacons while this instance is not a member yet. */
+  const leaderAddress = (): string | undefined => {
     const { leader } = group.state
-    const address = membersOf(group.state).find((member) => member.id === leader)?.address
-    if (leader === id || address === undefined) return await handleAdmin(request, admin)
+    if (leader === id) return peers.address
+    const member = membersOf(group.state).find((candidate) => candidate.id === leader)
+    return member?.address ?? peers.freshness.newest?.address
+  }
+  const handleOrForward = async (request: AdminRequest): Promise<AdminAnswer> => {
+    const address = leaderAddress()
+    if (address === undefined || address === peers.address) return await handleAdmin(request, admin)
     const answer = await peers.rpc.call<AdminAnswer>(address, 'control.admin', request, forwardTimeoutMs)
     if (answer.ok) return answer.value
     const { status, name, message, hint } = fail('outcomeUnknown', { reason: answer.reason })
     return { status, body: { error: name, message, hint } }
   }
   serveRpc(id, peers, group, admin, isLeader, () => registry, environment)
-  const accounts = serveRates(peers, group, isLeader, environment)
+  const accounts = serveRates(options.rateWindowMs, peers, group, isLeader, environment)
   const duties = startDuties(id, options, peers, group, isLeader, () => registry, hash, environment)
   publishNow = duties.publish
   const composing = options.autoMembers ? keepComposition(id, peers, group, isLeader, environment) : undefined
@@ -183,7 +189,7 @@
 }
 
 /** Serves rate shares while this instance leads. Each term of office has its own ledger. */
-function serveRates (peers: Peers, group: Group, isLeader: () => boolean, { clock }: Environment): NodeJS.Timeout {
+function serveRates (rateWindowMs: number, peers: Peers, group: Group, isLeader: () => boolean, { clock }: Environment): NodeJS.Timeout {
   let ledger: Ledger | undefined
   let term = -1
   const ledgerInOffice = () => {
@@ -201,7 +207,7 @@
     const grants: Grant[] = []
     for (const demand of demands) {
       const limit = limitOf(configuration, demand.workspace)
-      if (limit !== undefined) grants.push(decideGrant(current, holder, demand, limit, now))
+      if (limit !== undefined) grants.push(decideGrant(current, holder, demand, spreadBurst(limit, rateWindowMs), now))
     }
     return { grants }
   })
@@ -210,7 +216,7 @@
     const configuration = peers.configuration()
     for (const workspace of limitedWorkspaces(configuration)) {
       const limit = limitOf(configuration, workspace)
-      if (limit !== undefined) openAccount(ledgerInOffice(), workspace, limit, clock.now())
+      if (limit !== undefined) openAccount(ledgerInOffice(), workspace, spreadBurst(limit, rateWindowMs), clock.now())
     }
   }
   return setInterval(openAccounts, accountsMs)
--- a/src/core/control/types.ts
+++ b/src/core/control/types.ts
@@ -22,6 +22,8 @@
   autoMembers: boolean
   /** With `autoMembers`: the whole system starts for the first time. */
   bootstrap: boolean
+  /** Window over which rate and burst hold, in ms; 0: at every moment, as a token bucket. */
+  rateWindowMs: number
   /** Places claims among the nodes; without, non-idempotent requests rely on entering at one node only. */
   claims: boolean
   seeds: string[]
--- a/src/core/node/attempts.ts
+++ b/src/core/node/attempts.ts
@@ -3,7 +3,7 @@
 import { priorities } from '../config/index.ts'
 import { fail } from '../errors/index.ts'
 import type { Failure } from '../errors/index.ts'
-import type { Member } from '../membership/index.ts'
+import type { Member, Target } from '../membership/index.ts'
 import type { Environment, Peers } from '../peers/index.ts'
 import { createRetryRatios, earnRetry, giveBack, lend, mayRetry, spend, takeRetry } from '../retries/index.ts'
 import type { Budget } from '../retries/index.ts'
@@ -44,10 +44,16 @@
   return last.type === 'refused' && mayHaveRun !== undefined ? { ...mayHaveRun, report: last.report } : last
 }
 
+/** Targets of each service that take work; of a service that has none, those that are about to leave. */
 function placesByService (members: readonly Member[]): Map<string, Place[]> {
+  const leaving = placesIn(members, 'leaving')
+  return new Map([...leaving, ...placesIn(members, 'up')])
+}
+
+function placesIn (members: readonly Member[], state: Target['state']): Map<string, Place[]> {
   const places = new Map<string, Place[]>()
   for (const { id, domain, address, target } of members) {
-    if (target === undefined || target.state !== 'up') continue
+    if (target === undefined || target.state !== state) continue
     const known = places.get(target.service) ?? []
     known.push({ node: id, domain, slots: target.slots, address })
     places.set(target.service, known)
--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -163,9 +163,8 @@
       stopping = true
       target.leave()
       peers.prepareLeave()
-      await pause(leaveGraceMs)
+      await pause(Math.max(leaveGraceMs, servesUntil - clock.now()))
       server.stop()
-      await pause(Math.max(0, servesUntil - clock.now()))
       await waitUntilIdle(endsAt)
       await waitForHandover()
       await closeServer(callers)
--- a/src/core/rate/client.ts
+++ b/src/core/rate/client.ts
@@ -26,6 +26,8 @@
   const waiters = new Map<string, Waiter[]>()
   let reporting = false
   let urgent = false
+  /** Least time between urgent reports: no token is to be had before. */
+  let urgentGapMs = urgentReportMs
   let nextReport = 0
   /** Time of the oldest report that no leader has answered, or undefined. */
   let unansweredSince: number | undefined
@@ -41,6 +43,7 @@
     const demands = demandsOf(buckets, sentAt)
     nextReport = sentAt + reportMs
     urgent = false
+    urgentGapMs = urgentReportMs
     if (demands.length === 0) return
     unansweredSince ??= sentAt
     const parts: Demand[][] = []
@@ -48,6 +51,8 @@
     await Promise.all(parts.map(async (part) => {
       const grants = await sendReport(part)
       for (const grant of grants) admitWaiting(grant.workspace, acceptGrant(buckets, grant, sentAt, clock.now()))
+      const waits = grants.filter(({ nextMs }) => nextMs > 0).map(({ nextMs }) => nextMs)
+      if (waits.length > 0) urgentGapMs = Math.max(urgentReportMs, Math.min(...waits))
     }))
   }
   const sendReport = async (demands: Demand[]): Promise<Grant[]> => {
@@ -63,7 +68,7 @@
   const tryReport = () => {
     if (reporting || closed) return
     const now = clock.now()
-    if (now < nextReport && !(urgent && now >= nextReport - reportMs + urgentReportMs)) return
+    if (now < nextReport && !(urgent && now >= nextReport - reportMs + urgentGapMs)) return
     reporting = true
     void report().finally(() => {
       reporting = false
--- a/src/core/rate/ledger.ts
+++ b/src/core/rate/ledger.ts
@@ -1,4 +1,4 @@
-import { burstSeconds, demandLifeMs, minSharedDemand, sharedBurstPart, sharedPart, shareLeaseMs, sweepMs, tokenLifeMs, urgentReportMs } from './constants.ts'
+import { burstSeconds, demandLifeMs, minSharedDemand, sharedBurstPart, sharedPart, shareLeaseMs, sweepMs, tokenLifeMs, urgentReportMs, reportMs } from './constants.ts'
 import type { Demand, Grant, Limit } from './types.ts'
 
 /** A grant that a holder may still be using. */
@@ -194,10 +194,19 @@
     burst: grant.burst,
     tokens,
     open: now >= ledger.opensAt,
+    nextMs: nextTokenMs(account, demand.waiting - tokens, now),
     leaseMs: shareLeaseMs
   }
 }
 
+/** Time until the pool has a token again for requests that got none. */
+function nextTokenMs (account: Account, stillWaiting: number, now: number): number {
+  if (stillWaiting < 1) return 0
+  const refill = account.limit.rate - heldIn(account, now).rate
+  const missing = Math.max(0, 1 - account.tokens)
+  return refill <= 0 ? reportMs : Math.min(reportMs, 1000 * missing / refill)
+}
+
 /** A share in proportion to demand, limited to what others do not hold. */
 function decideShare (ledger: Ledger, account: Account, holding: Holding, others: Held, now: number): Limit {
   const wanted = wantedShare(account, holding)
--- a/src/core/rate/types.ts
+++ b/src/core/rate/types.ts
@@ -12,6 +12,8 @@
   tokens: number
   /** False while a new leader moves no tokens yet. */
   open: boolean
+  /** Time until the pool is likely to have a token for those that still wait, in milliseconds; 0 when none waits. */
+  nextMs: number
   /** Life from the time at which the node sent its report, in milliseconds. */
   leaseMs: number
 }
--- a/test/consensus/core.test.ts
+++ b/test/consensus/core.test.ts
@@ -49,3 +49,54 @@
   const effects = step(leader, { type: 'change-members', id: 'two', members }, 10_000, random)
   assert.equal(effects[0].type, 'refuse')
 })
+
+/** Acknowledges the newest append that the effects hold for `b`. */
+function acknowledge (leader: State, effects: readonly Effect[], match: number): Effect[] {
+  const sent = effects.findLast((effect) => effect.type === 'send' && effect.to === 'b' && effect.message.type === 'append')
+  assert.ok(sent?.type === 'send' && sent.message.type === 'append')
+  const { sentAt, round } = sent.message
+  return receive(leader, 'b', { type: 'append-reply', term: 1, ok: true, match, sentAt, round })
+}
+
+function confirmed (effects: readonly Effect[]): string[] {
+  return effects.flatMap((effect) => effect.type === 'confirm' ? [effect.id] : [])
+}
+
+test('a read is confirmed by a quorum that answers what was sent after it', () => {
+  const leader = createLeader()
+  const asked = step(leader, { type: 'read', id: 'r' }, 10_000, random)
+  assert.deepEqual(confirmed(asked), [])
+  assert.deepEqual(confirmed(acknowledge(leader, asked, 1)), ['r'])
+})
+
+test('an answer to what was sent before a read confirms nothing, even at the same reading of the clock', () => {
+  const leader = createLeader()
+  const before = step(leader, { type: 'propose', id: 'p', command: 1 }, 10_000, random)
+  step(leader, { type: 'read', id: 'r' }, 10_000, random)
+  assert.deepEqual(confirmed(acknowledge(leader, before, 2)), [])
+})
+
+test('a leader that learns of another refuses the reads that wait', () => {
+  const leader = createLeader()
+  step(leader, { type: 'read', id: 'r' }, 10_000, random)
+  const effects = receive(leader, 'c', { type: 'append', term: 2, previousIndex: 0, previousTerm: 0, entries: [], commit: 0, sentAt: 0, round: 0 })
+  assert.deepEqual(effects.flatMap((effect) => effect.type === 'refuse' ? [effect.id] : []), ['r'])
+})
+
+test('a follower refuses a read', () => {
+  const snapshot = { index: 0, term: 0, members, state: null }
+  const state = createState('a', { hardState: { term: 0, votedFor: null }, snapshot, entries: [] }, 0, random)
+  assert.equal(step(state, { type: 'read', id: 'r' }, 0, random)[0].type, 'refuse')
+})
+
+test('a standby that has caught up does not vote by itself, another learner does', () => {
+  for (const standby of [true, false]) {
+    const leader = createLeader()
+    const added = step(leader, { type: 'change-members', id: 'm', members: [...members, { id: 'd', address: 'd', voter: false, standby }] }, 10_000, random)
+    acknowledge(leader, added, 2)
+    receive(leader, 'd', { type: 'append-reply', term: 1, ok: true, match: 2, sentAt: 10_000, round: 0 })
+    step(leader, { type: 'tick' }, 10_001, random)
+    const promoted = leader.entries.some(({ payload }) => payload.type === 'members' && payload.members.some(({ id, voter }) => id === 'd' && voter))
+    assert.equal(promoted, !standby)
+  }
+})
--- /dev/null
+++ b/test/node/target.test.ts
@@ -0,0 +1,77 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { silentLog } from '../../src/core/log/index.ts'
+import { createMetrics } from '../../src/core/metrics/index.ts'
+import type { Announcement } from '../../src/core/node/announcement.ts'
+import { createOwnTarget } from '../../src/core/node/target.ts'
+import type { OwnTarget } from '../../src/core/node/target.ts'
+import type { Peers } from '../../src/core/peers/index.ts'
+import { createRandom } from '../../src/core/random/index.ts'
+
+const drainMs = 1600
+
+/** A target's record under a clock that the test moves. */
+async function withRecord (use: (target: OwnTarget, clock: { now: number }) => void): Promise<void> {
+  const time = { now: 0 }
+  const clock = { now: () => time.now, date: () => new Date(time.now) }
+  const peers = { setTarget () {} } as unknown as Peers
+  const target = createOwnTarget(peers, { clock, random: createRandom(1), log: silentLog, metrics: createMetrics() }, { drainMs, learnsLimit: false })
+  try {
+    use(target, time)
+  } finally {
+    await target.close()
+  }
+}
+
+function announcement (instance: string, bornAt: number, sequence: number, state: Announcement['state'] = 'up'): Announcement {
+  return { service: 's', address: '127.0.0.1:9', slots: 4, connections: 6, state, incarnation: { instance, bornAt, sequence } }
+}
+
+test('a target that leaves gets no request after the drain time, however often it says so', () => withRecord((target, time) => {
+  target.announce(announcement('i-1', 10, 1))
+  assert.equal(target.takesWork(), true)
+  target.announce(announcement('i-1', 10, 2, 'leaving'))
+  time.now = 1000
+  target.announce(announcement('i-1', 10, 3, 'leaving'))
+  time.now = drainMs - 1
+  assert.equal(target.takesWork(), true)
+  assert.equal(target.current()?.state, 'leaving')
+  time.now = drainMs
+  assert.equal(target.takesWork(), false)
+}))
+
+test('a target that deregisters is served for the drain time', () => withRecord((target, time) => {
+  target.announce(announcement('i-1', 10, 1))
+  assert.equal(target.withdraw('i-0', undefined), false)
+  assert.equal(target.withdraw('i-1', 9), false)
+  assert.equal(target.current()?.state, 'up')
+  assert.equal(target.withdraw('i-1', 10), true)
+  assert.equal(target.current()?.state, 'leaving')
+  time.now = drainMs
+  assert.equal(target.takesWork(), false)
+}))
+
+test('late messages of an earlier start, or of the same start, change nothing', () => withRecord((target) => {
+  target.announce(announcement('i-2', 20, 5))
+  assert.equal(target.announce(announcement('i-1', 10, 99, 'leaving')), false)
+  assert.equal(target.announce(announcement('i-2', 20, 4, 'leaving')), false)
+  assert.equal(target.announce(announcement('i-2', 20, 5, 'leaving')), false)
+  assert.deepEqual([target.instance(), target.current()?.state], ['i-2', 'up'])
+}))
+
+test('a start under the same id counts anew', () => withRecord((target, time) => {
+  target.announce(announcement('i-1', 10, 50, 'leaving'))
+  time.now = drainMs
+  assert.equal(target.announce(announcement('i-1', 30, 1)), true)
+  assert.equal(target.takesWork(), true)
+}))
+
+test('after another start answered in its place a target gets nothing until it speaks', () => withRecord((target) => {
+  target.announce(announcement('i-1', 10, 1))
+  target.lost('i-0')
+  assert.equal(target.takesWork(), true)
+  target.lost('i-1')
+  assert.equal(target.takesWork(), false)
+  target.announce(announcement('i-2', 20, 1))
+  assert.equal(target.takesWork(), true)
+}))
--- /dev/null
+++ b/test/platform/path.test.ts
@@ -0,0 +1,86 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { configuration, createMachines, eventually } from './machines.ts'
+import type { Machines } from './machines.ts'
+
+async function withMachines (use: (machines: Machines) => Promise<void>): Promise<void> {
+  const machines = await createMachines()
+  try {
+    await use(machines)
+  } finally {
+    await machines.stop()
+  }
+}
+
+/** Sends a configuration until a core acknowledges it. */
+async function accept (machines: Machines, core: number, base: string, document: object): Promise<void> {
+  await eventually(async () => (await machines.replace(core, base, document)).status === 200)
+}
+
+test('a request passes from one machine to the server beside another, by a group formed from seeds', () => withMachines(async (machines) => {
+  for (const number of [1, 2, 3, 4]) machines.startCore(number, true)
+  const near = await machines.startSidecar(1, 'other')
+  const far = await machines.startSidecar(2, 'shop')
+  await eventually(async () => await near.beat('ready') === 200 && await far.beat('ready') === 200)
+  await eventually(async () => await machines.ready(1) === 503)
+  assert.equal((await machines.send(1, '/p/x')).status, 503, 'without a configuration nothing is promised')
+  await accept(machines, 1, '0', configuration(3, 'shop'))
+  await eventually(async () => await machines.ready(1) === 200)
+  await eventually(async () => (await machines.send(1, '/p/x?y=1')).status === 200)
+  const reply = await machines.send(1, '/p/x?y=1')
+  assert.deepEqual([reply.text, reply.headers['x-dogwoodspring-server-stamp']], ['whole answer', 'stamp'])
+  const seen = far.seen.at(-1)
+  assert.equal(seen?.url, '/p/x?y=1')
+  const { host, 'x-dogwoodspring-key': key, 'x-dogwoodspring-caller-service': caller, 'x-dogwoodspring-tenant-id': tenant, 'x-dogwoodspring-expect-instance': instance } = seen?.headers ?? {}
+  assert.deepEqual([host, key, caller, tenant, instance], ['a.example', undefined, 'other', 'w', 'i-2'])
+  assert.ok(Number(seen?.headers['x-dogwoodspring-deadline-ms']) <= 3000)
+  assert.equal((await machines.send(1, '/q/')).status, 404)
+  assert.equal((await machines.send(1, '/p/x', { 'x-dogwoodspring-key': 'wrong' })).status, 401)
+  assert.equal((await machines.replace(2, 'r2', configuration(9, 'shop'))).status, 412)
+  assert.equal((await machines.replace(2, 'r3', { ...configuration(9, 'shop'), clusters: [] })).status, 400)
+  assert.equal((await machines.replace(4, '0', configuration(3, 'shop'))).status, 200, 'the same order gets the same answer through any core')
+  assert.deepEqual(JSON.parse((await machines.read(3)).text), configuration(3, 'shop'))
+  far.answerWith((_request, response) => response.writeHead(503, { 'x-dogwoodspring-not-executed': '1' }).end())
+  const refused = await machines.send(1, '/p/x')
+  assert.equal(refused.status, 503)
+  assert.ok(Number(refused.headers['retry-after']) > 0)
+}))
+
+test('a core that lost its disk comes back as a new member, and nothing acknowledged is lost', () => withMachines(async (machines) => {
+  for (const number of [1, 2, 3]) machines.startCore(number, true)
+  await accept(machines, 1, '0', configuration(3, 'shop'))
+  await accept(machines, 2, 'r3', configuration(5, 'shop'))
+  await machines.kill('core-1')
+  machines.wipe(1)
+  await Promise.all([machines.kill('core-2'), machines.kill('core-3')])
+  for (const number of [1, 2, 3]) machines.startCore(number, false)
+  await eventually(async () => (await machines.read(1)).status === 200)
+  assert.deepEqual(JSON.parse((await machines.read(1)).text), configuration(5, 'shop'))
+  await eventually(async () => machines.logOf('core-2').concat(machines.logOf('core-3')).includes('"voter":true}]}}') && /after":\[[^\]]*c-127-0-1-1-[0-9a-f]{8}","address":"[^"]*","voter":true/.test(machines.logOf('core-2') + machines.logOf('core-3')))
+  const [other] = [2, 3].filter((number) => !machines.logOf(`core-${number}`).includes('"role":"leader"'))
+  await machines.kill(`core-${other ?? 3}`)
+  machines.wipe(other ?? 3)
+  await accept(machines, 1, 'r5', configuration(6, 'shop'))
+  assert.deepEqual(JSON.parse((await machines.read(1)).text), configuration(6, 'shop'))
+}))
+
+test('a sidecar finishes what it has on SIGTERM, says at once that it is not ready, and ends in time', () => withMachines(async (machines) => {
+  for (const number of [1, 2, 3]) machines.startCore(number, true)
+  const server = await machines.startSidecar(1, 'shop')
+  await eventually(async () => await server.beat('ready') === 200)
+  await accept(machines, 1, '0', configuration(3, 'shop'))
+  await eventually(async () => (await machines.send(1, '/p/x')).status === 200)
+  server.answerWith((request, response) => {
+    const headers = { 'x-dogwoodspring-request-id': request.headers['x-dogwoodspring-request-id'] }
+    setTimeout(() => response.writeHead(200, headers).end('slow answer'), 1500)
+  })
+  const running = machines.send(1, '/p/x')
+  await eventually(async () => server.seen.length >= 2)
+  const startedAt = performance.now()
+  const ended = machines.kill('sidecar-1', 'SIGTERM')
+  await eventually(async () => await machines.ready(1) === 503, 1000)
+  assert.equal((await running).text, 'slow answer')
+  assert.equal((await machines.send(1, '/p/x')).text, 'slow answer', 'callers that have not heard yet are still served')
+  assert.equal(await ended, 0)
+  assert.ok(performance.now() - startedAt < 6000)
+}))
