A lock file that lost its content with the power no longer keeps a control instance from starting

Cause: after a loss of power the lock may exist without content; an empty owner was compared with the start time of no process, both undefined, and counted as alive.

Besides: the calls of a target for work that it has begun go before all others and are never turned away early; crashes are reported in one command; nodes share the retries that the fleet may make at once.

--- a/src/core/admission/queue.ts
+++ b/src/core/admission/queue.ts
@@ -7,7 +7,7 @@
   id: string
   /** Requests of one kind take about the same time at the target. */
   kind: string
-  /** 0 is shed last. */
+  /** Lower numbers are shed later. */
   priority: number
   /** Workspace, or an empty text for routes open to all. */
   workspace: string
--- a/src/core/control/control.ts
+++ b/src/core/control/control.ts
@@ -180,8 +180,8 @@
   peers.rpcServer.method('control.admin', (request: AdminRequest) => handleAdmin(request, admin))
   peers.rpcServer.method('control.ready', ({ slots, boot }: { slots: Record<string, number>, boot: string }) =>
     propose({ type: 'ready', at: clock.date().getTime(), slots, boot }))
-  peers.rpcServer.method('control.crash', ({ fingerprint, target }: { fingerprint: string, target: string }) =>
-    propose({ type: 'crash', at: clock.date().getTime(), fingerprint, target }))
+  peers.rpcServer.method('control.crash', ({ fingerprints, target }: { fingerprints: string[], target: string }) =>
+    propose({ type: 'crash', at: clock.date().getTime(), fingerprints, target }))
   peers.rpcServer.method('control.exonerate', async ({ fingerprint }: { fingerprint: string }) => {
     if (registry().crashes[fingerprint] === undefined && registry().bans[fingerprint] === undefined) return { ok: true }
     return await propose({ type: 'exonerate', at: clock.date().getTime(), fingerprint })
--- a/src/core/node/attempts.ts
+++ b/src/core/node/attempts.ts
@@ -5,10 +5,11 @@
 import type { Failure } from '../errors/index.ts'
 import type { Member, Target } from '../membership/index.ts'
 import type { Environment, Peers } from '../peers/index.ts'
-import { createRetryRatios, earnRetry, giveBack, lend, mayRetry, spend, takeRetry } from '../retries/index.ts'
+import { createRetryRatios, earnRetry, giveBack, lend, mayRetry, shareAllowance, spend, takeRetry } from '../retries/index.ts'
 import type { Budget } from '../retries/index.ts'
 import { chooseTarget, createStandings, recordAnswer, recordFailure, standingOf } from '../routing/index.ts'
 import type { Candidate } from '../routing/index.ts'
+import { begunPriority } from './constants.ts'
 import type { Forwarder } from './forward.ts'
 import type { CallServer } from './serve.ts'
 import { emptyReport } from './types.ts'
@@ -62,7 +63,9 @@
 }
 
 /** Creates the calling side of a node. */
-export function createCaller (peers: Peers, server: CallServer, forwarder: Forwarder, { clock, random, metrics }: Environment): Caller {
+export function createCaller (
+  peers: Peers, server: CallServer, forwarder: Forwarder, fleetRetries: number, { clock, random, metrics }: Environment
+): Caller {
   const standings = createStandings()
   const ratios = createRetryRatios()
   const throttle = createThrottle()
@@ -72,7 +75,10 @@
 
   const candidates = (service: string): readonly Place[] => {
     const members = peers.members()
-    if (members !== placesOf) places = placesByService(members)
+    if (members !== placesOf) {
+      places = placesByService(members)
+      shareAllowance(ratios, fleetRetries, members.filter(({ role }) => role === 'node').length)
+    }
     placesOf = members
     return places.get(service) ?? []
   }
@@ -112,7 +118,7 @@
     async call (call, budget, sink) {
       const { service, priority } = call.context
       const key = throttleKey(call)
-      if (!admits(throttle, key, priority, random.next(), clock.now())) {
+      if (priority > begunPriority && !admits(throttle, key, priority, random.next(), clock.now())) {
         metrics.count(`throttled_total{priority="${priorities[priority]}"}`)
         return refused(fail('overloaded', { service, reason: 'refused early, as targets further down refuse' }), true)
       }
--- a/src/core/node/constants.ts
+++ b/src/core/node/constants.ts
@@ -43,5 +43,8 @@
 /** Time between sweeps of the admission queue while requests wait, in milliseconds. */
 export const sweepMs = 10
 
+/** Priority of the calls that a target makes for a request that it works on: turning them away wastes what was done. */
+export const begunPriority = -1
+
 /** Deepest chain of calls. */
 export const maxDepth = 64
--- a/src/core/node/crashes.ts
+++ b/src/core/node/crashes.ts
@@ -32,7 +32,7 @@
     metrics.count('target_crashes_total')
     log.warn('target ended while requests ran', { running: fingerprints.size })
     const suspects = [...fingerprints].filter((fingerprint) => !isInnocent(innocence, fingerprint, clock.now()))
-    await Promise.all(suspects.map((fingerprint) => call('control.crash', { fingerprint, target: crash })))
+    if (suspects.length > 0) await call('control.crash', { fingerprints: suspects, target: crash })
     return true
   }
   peers.onConfiguration((configuration) => {
--- a/src/core/node/dialect.ts
+++ b/src/core/node/dialect.ts
@@ -14,6 +14,8 @@
   key: string | undefined
   /** How long the caller waits, in ms. */
   timeLeftMs: number | undefined
+  /** The own target makes the request for one that it works on, without naming it. */
+  fromTarget: boolean
 }
 
 /** What a target is told besides the caller's headers. */
@@ -67,7 +69,7 @@
   singleEntry: false,
   requestIdHeader: 'x-request-id',
   acceptsUnframed: false,
-  read: (request) => succeed({ host: request.headers.host ?? '', key: undefined, timeLeftMs: undefined }),
+  read: (request) => succeed({ host: request.headers.host ?? '', key: undefined, timeLeftMs: undefined, fromTarget: false }),
   requestHeaders: (rawHeaders) => requestHeaders(rawHeaders, (name, value) => isOwn(name) || isCredential(name, value)),
   targetHeaders ({ headers, context }, { token }) {
     const id = headerOf(headers, 'x-request-id') === undefined ? ['x-request-id', context.attempt] : []
--- a/src/core/node/entry.ts
+++ b/src/core/node/entry.ts
@@ -4,6 +4,7 @@
 import { invariant } from '../errors/index.ts'
 import { fingerprintOf } from '../quarantine/index.ts'
 import { createBudget } from '../retries/index.ts'
+import { begunPriority } from './constants.ts'
 import type { CallerRequest, Dialect } from './dialect.ts'
 import { filters } from './filters.ts'
 import type { Arrival, EntryContext } from './filters.ts'
@@ -51,7 +52,7 @@
       template: route.template,
       route: route.name,
       service: route.service,
-      priority: route.priority,
+      priority: said.fromTarget ? begunPriority : route.priority,
       weight: parameters.weight,
       idempotent: route.idempotent,
       needsClaim: !route.idempotent && !dialect.singleEntry,
--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -53,6 +53,8 @@
   drainMs?: number
   /** Whether the number of requests that run at once is learnt below the announced slots. Default: true. */
   learnsLimit?: boolean
+  /** Retries that all nodes together may make in a short time beyond a tenth of the successes, for each service. Default: no bound. */
+  fleetRetries?: number
   /** How long callers may keep an idle connection, in ms. Default: 5000. */
   keepAliveMs?: number
 }
@@ -87,7 +89,7 @@
   const crashes = createCrashReporter(peers, target, environment)
   const server = createCallServer({ dialect, keyProblem, peers, target, claims, crashes, spans, environment })
   const forwarder = createForwarder(peers, environment)
-  const caller = createCaller(peers, server, forwarder, environment)
+  const caller = createCaller(peers, server, forwarder, options.fleetRetries ?? Infinity, environment)
   const directory = createDirectory(peers.configuration, random)
   const refusals = createRefusals(claims, dialect, random)
   const entry = { dialect, peers, directory, rates, caller, refusals, keyProblem, environment }
--- a/src/core/node/types.ts
+++ b/src/core/node/types.ts
@@ -15,7 +15,7 @@
   template: string
   route: string
   service: string
-  /** 0 is shed last. */
+  /** 0 is shed last; below it stands what a target needs for work that it has begun. */
   priority: number
   weight: number
   idempotent: boolean
--- a/src/core/registry/registry.ts
+++ b/src/core/registry/registry.ts
@@ -130,23 +130,24 @@
 }
 
 function applyCrash (registry: Registry, command: Extract<Command, { type: 'crash' }>): Result {
-  const { at, fingerprint, target } = command
+  const { at, fingerprints, target } = command
   dropOldCrashes(registry, at)
-  const known = registry.crashes[fingerprint] ?? { at, targets: [] }
-  if (!known.targets.includes(target)) known.targets.push(target)
-  registry.crashes[fingerprint] = { at, targets: known.targets }
   const differences: Difference[] = []
   for (const [name, ban] of Object.entries(registry.bans)) {
     if (ban.until > at) continue
     delete registry.bans[name]
     differences.push({ collection: 'bans', name })
   }
-  if (known.targets.length >= crashesToBan) {
+  for (const fingerprint of fingerprints) {
+    const known = registry.crashes[fingerprint] ?? { at, targets: [] }
+    if (!known.targets.includes(target)) known.targets.push(target)
+    registry.crashes[fingerprint] = { at, targets: known.targets }
+    if (known.targets.length < crashesToBan) continue
     registry.bans[fingerprint] = { until: at + banMs }
     differences.push({ collection: 'bans', name: fingerprint, value: registry.bans[fingerprint] })
   }
   if (differences.length > 0) nextRevision(registry, differences)
-  return receipt(registry, fingerprint)
+  return receipt(registry, 'crashes')
 }
 
 /** Lifts a ban from a fingerprint that a node has seen complete since. */
--- a/src/core/registry/types.ts
+++ b/src/core/registry/types.ts
@@ -8,7 +8,8 @@
   | { type: 'refusal', operator: string, at: number, kind: string, name: string, changeId: string, reason: string }
   | { type: 'place', at: number, slots: Record<string, ClaimSlot> }
   | { type: 'ready', at: number, slots: Record<string, number>, boot: string }
-  | { type: 'crash', at: number, fingerprint: string, target: string }
+  /** One target ended while it ran requests with these fingerprints. */
+  | { type: 'crash', at: number, fingerprints: string[], target: string }
   | { type: 'exonerate', at: number, fingerprint: string }
 
 /** One line of the audit trail. Holds no key and no hash of one. */
--- a/src/core/storage/lock.ts
+++ b/src/core/storage/lock.ts
@@ -13,10 +13,11 @@
   }
 }
 
+/** Owner that the lock names, or undefined. After a loss of power the file may be there without its content. */
 function readOwner (path: string): { pid: string, started: string } | undefined {
   try {
-    const [pid, started] = readFileSync(path, 'utf8').trim().split(' ')
-    return { pid, started }
+    const match = /^(\d+) (\d+)$/.exec(readFileSync(path, 'utf8').trim())
+    return match === null ? undefined : { pid: match[1], started: match[2] }
   } catch {
     return undefined
   }
@@ -26,10 +27,8 @@
 export function lockFolder (folder: string): Outcome<() => void> {
   const path = join(folder, 'lock')
   const owner = readOwner(path)
-  if (owner !== undefined) {
-    if (startTime(owner.pid) === owner.started) return fail('dataFolderLocked', { folder, pid: owner.pid })
-    rmSync(path, { force: true })
-  }
+  if (owner !== undefined && startTime(owner.pid) === owner.started) return fail('dataFolderLocked', { folder, pid: owner.pid })
+  rmSync(path, { force: true })
   try {
     const file = openSync(path, 'wx', 0o600)
     writeSync(file, `${process.pid} ${startTime(String(process.pid)) ?? ''}\n`)
--- a/test/platform/translation.test.ts
+++ b/test/platform/translation.test.ts
@@ -96,7 +96,7 @@
 })
 
 test('callers cannot set what the system tells the server', () => {
-  const dialect = createDialect('shop')
+  const dialect = createDialect('shop', '10.0.0.9')
   const raw = [
     'Host', 'a.example', 'X-Dogwoodspring-Request-Id', 'id-1', 'X-Dogwoodspring-Key', 'secret', 'X-Dogwoodspring-Tenant-Id', 'forged',
     'X-Dogwoodspring-Caller-Service', 'forged', 'X-Dogwoodspring-Expect-Instance', 'forged', 'X-Dogwoodspring-Deadline-Ms', '99999', 'Connection', 'X-Hop', 'X-Hop', '1', 'Accept', '*/*'
@@ -107,20 +107,20 @@
 
 test('a server is told its instance and the time that is left', () => {
   const call = { headers: ['accept', '*/*'], context: { host: 'a.example' } } as unknown as Call
-  const headers = createDialect('shop').targetHeaders(call, { token: 't', instance: 'i-1', remainingMs: 1234.9 })
+  const headers = createDialect('shop', '10.0.0.9').targetHeaders(call, { token: 't', instance: 'i-1', remainingMs: 1234.9 })
   assert.deepEqual(headers, ['host', 'a.example', 'accept', '*/*', 'x-dogwoodspring-expect-instance', 'i-1', 'x-dogwoodspring-deadline-ms', '1234'])
 })
 
 test('what a caller says of itself', () => {
   const request = new IncomingMessage(new Socket())
   request.headers = { host: 'a.example', 'x-dogwoodspring-key': 'secret', 'x-dogwoodspring-deadline-ms': '5000' }
-  assert.deepEqual(createDialect('shop').read(request), { ok: true, value: { host: 'a.example', key: 'secret', timeLeftMs: 5000 } })
+  assert.deepEqual(createDialect('shop', '10.0.0.9').read(request), { ok: true, value: { host: 'a.example', key: 'secret', timeLeftMs: 5000, fromTarget: false } })
   request.headers['x-dogwoodspring-deadline-ms'] = 'soon'
-  assert.deepEqual(createDialect('shop').read(request), { ok: true, value: { host: 'a.example', key: 'secret', timeLeftMs: undefined } })
+  assert.deepEqual(createDialect('shop', '10.0.0.9').read(request), { ok: true, value: { host: 'a.example', key: 'secret', timeLeftMs: undefined, fromTarget: false } })
 })
 
 test('only what says so was not run', () => {
-  const { saysNotRun } = createDialect('shop')
+  const { saysNotRun } = createDialect('shop', '10.0.0.9')
   assert.deepEqual([saysNotRun(421, {}), saysNotRun(503, {}), saysNotRun(503, { 'x-dogwoodspring-not-executed': '1' }), saysNotRun(500, {})], [true, false, true, false])
 })
 
--- a/test/registry/registry.test.ts
+++ b/test/registry/registry.test.ts
@@ -103,7 +103,7 @@
 
 test('second crash under a fingerprint bans it, a completed one releases it', () => {
   const registry = filled()
-  const crash = (target: string, fingerprint = 'f') => applyCommand(registry, { type: 'crash', at: 1, fingerprint, target })
+  const crash = (target: string, fingerprint = 'f') => applyCommand(registry, { type: 'crash', at: 1, fingerprints: [fingerprint], target })
   crash('t1')
   crash('t1', 'companion')
   crash('t1')
--- a/test/retries/retries.test.ts
+++ b/test/retries/retries.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fc from 'fast-check'
-import { createBudget, createRetryRatios, earnRetry, giveBack, lend, mayRetry, spend, takeRetry } from '../../src/core/retries/index.ts'
+import { createBudget, createRetryRatios, shareAllowance, earnRetry, giveBack, lend, mayRetry, spend, takeRetry } from '../../src/core/retries/index.ts'
 import type { Budget } from '../../src/core/retries/index.ts'
 
 interface Shape {
@@ -71,3 +71,15 @@
   assert.equal(takeRetry(ratios, 's'), true)
   assert.equal(takeRetry(ratios, 's'), false)
 })
+
+test('nodes share the retries that the fleet may make at once', () => {
+  const made = Array.from({ length: 16 }, () => {
+    const ratios = createRetryRatios()
+    shareAllowance(ratios, 47, 16)
+    let count = 0
+    while (takeRetry(ratios, 's')) count++
+    return count
+  })
+  const sum = made.reduce((total, count) => total + count, 0)
+  assert.ok(sum <= 47 && sum >= 16, `${sum} retries`)
+})
