Share of new work by what services further down can bear; a reset never completes an answer

Change: gates measure how long calls of begun work wait and report a share with each answer, nodes pass on the least of their own and of what their target calls; entries turn new requests away by it, urgent ones last. Connections rename the code of a reset, so that it fails the answer in every state; where targets always repeat the request's id an answer without it is refused. Tests for both; the one for the reset failed before.

--- a/src/core/http/index.ts
+++ b/src/core/http/index.ts
@@ -1,1 +1,2 @@
+export { createConnector } from './connect.ts'
 export { closeServer, listen } from './listen.ts'
--- a/src/core/http/listen.ts
+++ b/src/core/http/listen.ts
@@ -16,7 +16,7 @@
 }
 
 /** Time that callers have to close their connections after the last answer, in milliseconds. */
-const lingerMs = 500
+const lingerMs = 200
 
 /** Stops accepting connections and waits until the last answer was sent, for a short while. */
 export function closeServer (server: Server): Promise<void> {
--- a/src/core/node/attempts.ts
+++ b/src/core/node/attempts.ts
@@ -1,5 +1,6 @@
 import { randomId } from '../auth/index.ts'
-import { admits, createThrottle, pruneThrottle, recordOutcome } from '../admission/index.ts'
+import { admits, createThrottle, letsIn, pruneThrottle, recordOutcome, recordShare, shareOf } from '../admission/index.ts'
+import type { KnownShares } from '../admission/index.ts'
 import { priorities } from '../config/index.ts'
 import { fail } from '../errors/index.ts'
 import type { Failure } from '../errors/index.ts'
@@ -64,7 +65,7 @@
 
 /** Creates the calling side of a node. */
 export function createCaller (
-  peers: Peers, server: CallServer, forwarder: Forwarder, fleetRetries: number, { clock, random, metrics }: Environment
+  peers: Peers, server: CallServer, forwarder: Forwarder, fleetRetries: number, shares: KnownShares, { clock, random, metrics }: Environment
 ): Caller {
   const standings = createStandings()
   const ratios = createRetryRatios()
@@ -92,12 +93,13 @@
     const attempted = place.node === id ? await server.serve(attempt, sink) : await forwarder.forward(place.address, attempt, lent, sink)
     standing.inFlight--
     giveBack(budget, lent, attempted.report.used)
-    learn(attempted, place, clock.now() - startedAt)
+    learn(call.context.service, attempted, place, clock.now() - startedAt)
     return attempted
   }
-  const learn = (attempted: Attempted, place: Place, latencyMs: number) => {
+  const learn = (service: string, attempted: Attempted, place: Place, latencyMs: number) => {
     const standing = standingOf(standings, place.node)
     const now = clock.now()
+    if (attempted.report.share !== undefined) recordShare(shares, service, place.node, attempted.report.share, now)
     metrics.count(`attempts_total{outcome="${attempted.type}"}`)
     if (attempted.type === 'answered') return recordAnswer(standing, latencyMs, attempted.report.load, now)
     const unreachable = attempted.type === 'refused' && attempted.failure.code === 'noTarget'
@@ -118,6 +120,11 @@
     async call (call, budget, sink) {
       const { service, priority } = call.context
       const key = throttleKey(call)
+      const isNew = priority > begunPriority && call.context.depth === 0
+      if (isNew && !letsIn(shareOf(shares, service, clock.now()), priority, random.next())) {
+        metrics.count(`turned_away_total{priority="${priority}"}`)
+        return refused(fail('overloaded', { service, reason: 'refused before it began, as it leads to services that cannot bear more' }), true)
+      }
       if (priority > begunPriority && !admits(throttle, key, priority, random.next(), clock.now())) {
         metrics.count(`throttled_total{priority="${priorities[priority]}"}`)
         return refused(fail('overloaded', { service, reason: 'refused early, as targets further down refuse' }), true)
--- a/src/core/node/dialect.ts
+++ b/src/core/node/dialect.ts
@@ -45,6 +45,8 @@
   singleEntry: boolean
   /** Header, in lower case, in which a target repeats the id of the request that it answers. */
   requestIdHeader: string
+  /** Targets repeat that id in every answer, so that one without it belongs to no request. */
+  alwaysRepeatsId: boolean
   /** Answers may end with their connection. */
   acceptsUnframed: boolean
   read: (request: IncomingMessage) => Outcome<CallerRequest>
@@ -68,6 +70,7 @@
   configuredBy: 'templates',
   singleEntry: false,
   requestIdHeader: 'x-request-id',
+  alwaysRepeatsId: false,
   acceptsUnframed: false,
   read: (request) => succeed({ host: request.headers.host ?? '', key: undefined, timeLeftMs: undefined, fromTarget: false }),
   requestHeaders: (rawHeaders) => requestHeaders(rawHeaders, (name, value) => isOwn(name) || isCredential(name, value)),
--- a/src/core/node/entry.ts
+++ b/src/core/node/entry.ts
@@ -90,6 +90,7 @@
   }
   invariant(arrival.route !== undefined, 'the filters found no route')
   const call = createCall(arrival, arrival.route, dialect, arrivedAt)
+  if (said.value.fromTarget) context.dependencies.called(call.context.service)
   if (response.destroyed) call.cancellation.cancel()
   response.once('close', () => {
     if (!response.writableFinished) call.cancellation.cancel()
--- a/src/core/node/filters.ts
+++ b/src/core/node/filters.ts
@@ -7,6 +7,7 @@
 import type { Caller } from './attempts.ts'
 import { readBody } from './body.ts'
 import { maxBodyBytes, ownPathPrefix } from './constants.ts'
+import type { Dependencies } from './dependencies.ts'
 import type { CallerRequest, Dialect } from './dialect.ts'
 import { holdsKey } from './headers.ts'
 import type { Directory, Identity } from './identity.ts'
@@ -37,6 +38,7 @@
   directory: Directory
   rates: RateClient
   caller: Caller
+  dependencies: Dependencies
   refusals: Refusals
   keyProblem: KeyCheck
   environment: Environment
--- a/src/core/node/forward.ts
+++ b/src/core/node/forward.ts
@@ -1,5 +1,6 @@
 import { Agent } from 'undici'
 import { fail } from '../errors/index.ts'
+import { createConnector } from '../http/index.ts'
 import type { Environment, Peers } from '../peers/index.ts'
 import { outcomeHeader, reportHeader } from './constants.ts'
 import { signedText } from './context.ts'
@@ -49,7 +50,7 @@
 
 /** Creates a forwarder with connections of its own to each node. */
 export function createForwarder (peers: Peers, { clock }: Environment): Forwarder {
-  const agent = new Agent({ connections: connectionsPerPeer, pipelining: 1, connect: { timeout: connectTimeoutMs }, keepAliveTimeout: 60_000 })
+  const agent = new Agent({ connections: connectionsPerPeer, pipelining: 1, connect: createConnector(connectTimeoutMs), keepAliveTimeout: 60_000 })
   const forward = (address: string, call: Call, lent: number, sink: Sink) => new Promise<Attempted>((resolve) => {
     const remainingMs = call.deadlineAt - clock.now()
     const context = JSON.stringify({ ...call.context, budget: lent, remainingMs })
--- a/src/core/node/gate.ts
+++ b/src/core/node/gate.ts
@@ -1,7 +1,7 @@
-import { createAdmission, finish, loadOf, offer, sweepAdmission, withdraw } from '../admission/index.ts'
+import { createAdmission, createShare, finish, loadOf, offer, recordBegunWait, settleShare, sweepAdmission, withdraw } from '../admission/index.ts'
 import type { Admission, Decision, Entry, FinishedRequest, Reason } from '../admission/index.ts'
 import type { Clock } from '../clock/index.ts'
-import { sweepMs } from './constants.ts'
+import { begunPriority, sweepMs } from './constants.ts'
 
 /** Whether a request may go on to the target. */
 export type Admittance = { type: 'started' } | { type: 'shed', reason: Reason | 'cancelled' }
@@ -16,6 +16,8 @@
   load: () => number
   running: () => number
   limit: () => number
+  /** Share of the new work that the target can bear besides what was begun, 0 to 1. */
+  share: () => number
   /** Starts anew for a target that has just started. */
   reset: (slots: number) => void
   /** Takes over a changed number of slots of the same target. */
@@ -26,15 +28,20 @@
 /** Creates the gate of a target with `slots`. With `learns`, fewer than the slots may run at once. */
 export function createGate (slots: number, clock: Clock, learns: boolean): Gate {
   let admission: Admission = createAdmission(slots, clock.now(), learns)
-  const waiting = new Map<string, (admittance: Admittance) => void>()
+  const share = createShare(clock.now())
+  const waiting = new Map<string, { entry: Entry, resolve: (admittance: Admittance) => void }>()
   let timer: NodeJS.Timeout | undefined
   const carryOut = (decision: Decision) => {
     for (const id of decision.started) settle(id, { type: 'started' })
     for (const { id, reason } of decision.shed) settle(id, { type: 'shed', reason })
   }
   const settle = (id: string, admittance: Admittance) => {
-    waiting.get(id)?.(admittance)
+    const found = waiting.get(id)
+    if (found === undefined) return
+    const { entry, resolve } = found
+    if (entry.priority <= begunPriority) recordBegunWait(share, clock.now() - entry.arrivedAt, clock.now())
     waiting.delete(id)
+    resolve(admittance)
   }
   const sweep = () => {
     timer = undefined
@@ -47,13 +54,14 @@
   return {
     enter (entry) {
       let result: Admittance | undefined
-      waiting.set(entry.id, (admittance) => {
+      const resolveNow = (admittance: Admittance) => {
         result = admittance
-      })
+      }
+      waiting.set(entry.id, { entry, resolve: resolveNow })
       carryOut(offer(admission, entry, clock.now()))
       arm()
       if (result !== undefined) return result
-      return new Promise((resolve) => waiting.set(entry.id, resolve))
+      return new Promise((resolve) => waiting.set(entry.id, { entry, resolve }))
     },
     exit (sample) {
       carryOut(finish(admission, sample, clock.now()))
@@ -64,6 +72,10 @@
     load: () => loadOf(admission),
     running: () => admission.running,
     limit: () => admission.limit.value,
+    share () {
+      settleShare(share, clock.now())
+      return share.value
+    },
     reset (next) {
       const fresh = createAdmission(next, clock.now(), learns)
       admission = { ...fresh, running: admission.running, queue: admission.queue }
--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { randomId } from '../auth/index.ts'
 import { createClaimClient } from '../claims/client.ts'
+import { createKnownShares } from '../admission/index.ts'
 import type { Hash } from '../claims/index.ts'
 import { serveClaims } from '../claims/service.ts'
 import { closeServer, listen } from '../http/index.ts'
@@ -13,6 +14,7 @@
 import { callerKeepAliveMs, contextHeader, leaveGraceMs, maxHeaderBytes, ownPathPrefix } from './constants.ts'
 import { createCrashReporter } from './crashes.ts'
 import { serveCaller } from './entry.ts'
+import { createDependencies } from './dependencies.ts'
 import { ownDialect } from './dialect.ts'
 import type { Dialect } from './dialect.ts'
 import { createForwarder } from './forward.ts'
@@ -82,18 +84,20 @@
   const peers = await createPeers({ id, boot: randomId(), role: 'node', domain, address, seeds, secrets }, environment)
   const target = createOwnTarget(peers, environment, { drainMs, learnsLimit })
   const spans = createSpans()
+  const dependencies = createDependencies(clock)
+  const shares = createKnownShares()
   const holder = serveClaims(peers, environment)
   const claims = createClaimClient(peers, environment, hash)
   const rates = createRateClient(peers, environment)
   const keyProblem = createKeyCheck(peers, clock, { configuredBy: dialect.configuredBy, strict: strictKeys })
   const crashes = createCrashReporter(peers, target, environment)
-  const server = createCallServer({ dialect, keyProblem, peers, target, claims, crashes, spans, environment })
+  const server = createCallServer({ dialect, keyProblem, dependencies, shares, peers, target, claims, crashes, spans, environment })
   const forwarder = createForwarder(peers, environment)
-  const caller = createCaller(peers, server, forwarder, options.fleetRetries ?? Infinity, environment)
+  const caller = createCaller(peers, server, forwarder, options.fleetRetries ?? Infinity, shares, environment)
   const directory = createDirectory(peers.configuration, random)
   const refusals = createRefusals(claims, dialect, random)
-  const entry = { dialect, peers, directory, rates, caller, refusals, keyProblem, environment }
-  const outgoing = { dialect, keyProblem, peers, directory, spans, caller, refusals, environment }
+  const entry = { dialect, dependencies, peers, directory, rates, caller, refusals, keyProblem, environment }
+  const outgoing = { dialect, dependencies, keyProblem, peers, directory, spans, caller, refusals, environment }
   let active = 0
   let stopping = false
 
--- a/src/core/node/outgoing.ts
+++ b/src/core/node/outgoing.ts
@@ -8,6 +8,7 @@
 import { readBody } from './body.ts'
 import { contextHeader, maxBodyBytes, maxDepth } from './constants.ts'
 import { requestDigest } from './entry.ts'
+import type { Dependencies } from './dependencies.ts'
 import type { Dialect } from './dialect.ts'
 import { headerOf } from './headers.ts'
 import type { Directory } from './identity.ts'
@@ -27,6 +28,7 @@
   directory: Directory
   spans: Spans
   caller: Caller
+  dependencies: Dependencies
   refusals: Refusals
   environment: Environment
 }
@@ -98,6 +100,7 @@
   response.once('close', () => {
     if (!response.writableFinished) child.cancellation.cancel()
   })
+  context.dependencies.called(child.context.service)
   beginChild(span, clock.now())
   const attempted = await context.caller.call(child, span.budget, createResponseSink(response, false))
   endChild(span, clock.now())
--- a/src/core/node/serve.ts
+++ b/src/core/node/serve.ts
@@ -7,9 +7,12 @@
 import type { Failure } from '../errors/index.ts'
 import { checkFresh } from '../freshness/index.ts'
 import type { Environment, Peers } from '../peers/index.ts'
+import { shareOf } from '../admission/index.ts'
+import type { KnownShares } from '../admission/index.ts'
 import type { CrashReporter } from './crashes.ts'
 import { sendExchange } from './exchange.ts'
 import type { ExchangeError } from './exchange.ts'
+import type { Dependencies } from './dependencies.ts'
 import type { Dialect } from './dialect.ts'
 import { headerOf } from './headers.ts'
 import { createLane } from './lane.ts'
@@ -38,6 +41,9 @@
   claims: ClaimClient
   crashes: CrashReporter
   spans: Spans
+  dependencies: Dependencies
+  /** Shares that other services' nodes reported. */
+  shares: KnownShares
   environment: Environment
 }
 
@@ -82,17 +88,23 @@
 
 /** Creates the serving side of a node. */
 export function createCallServer (context: ServeContext): CallServer {
-  const { dialect, keyProblem, peers, target, claims, crashes, spans, environment } = context
+  const { dialect, keyProblem, peers, target, claims, crashes, spans, dependencies, shares, environment } = context
   const { clock, metrics } = environment
   const suspects = createLane()
   let stopped = false
   let running = 0
   let echoesRequestId = false
 
-  const report = (span?: Span): Report => ({ used: span?.budget.used ?? 0, load: target.gate.load(), shed: span?.shed ?? false })
+  /** The least of the own share and those of the services that the own target needs. */
+  const bearableShare = (): number => {
+    const now = clock.now()
+    const needed = dependencies.needed().map((service) => shareOf(shares, service, now))
+    return Math.round(1000 * Math.min(target.gate.share(), ...needed)) / 1000
+  }
+  const report = (span?: Span): Report => ({ used: span?.budget.used ?? 0, load: target.gate.load(), shed: span?.shed ?? false, share: bearableShare() })
   const refuse = (failure: Failure, elsewhere: boolean, arrived = false): Attempted => {
     const shed = failure.code === 'overloaded' || arrived
-    return { type: 'refused', failure, elsewhere, arrived, report: { ...emptyReport, load: target.gate.load(), shed } }
+    return { type: 'refused', failure, elsewhere, arrived, report: { ...emptyReport, load: target.gate.load(), shed, share: bearableShare() } }
   }
   const failed = (failure: Failure, crashed: boolean, span?: Span): Attempted => ({ type: 'failed', failure, crashed, report: report(span) })
 
@@ -187,6 +199,7 @@
     let status = 0
     let answer: string[] = []
     running++
+    dependencies.ran()
     const conclude = (attempted: Attempted, sample: { failed: boolean } | undefined) => {
       running--
       const latencyMs = clock.now() - startedAt - span.childMs
@@ -208,7 +221,7 @@
       head (code, received) {
         const echoed = received[dialect.requestIdHeader]
         if (echoed === requestId) echoesRequestId = true
-        else if (echoesRequestId && echoed !== undefined) return false
+        else if (dialect.alwaysRepeatsId || (echoesRequestId && echoed !== undefined)) return false
         if (!dialect.acceptsUnframed && !hasDefiniteEnd(call.method, code, received)) return false
         status = code
         turnedAway = dialect.saysNotRun(code, received)
--- a/src/core/node/target.ts
+++ b/src/core/node/target.ts
@@ -3,6 +3,7 @@
 import type { Environment, Peers } from '../peers/index.ts'
 import type { Target } from '../membership/index.ts'
 import { splitAddress } from '../rpc/index.ts'
+import { createConnector } from '../http/index.ts'
 import { isNews } from './announcement.ts'
 import type { Announcement } from './announcement.ts'
 import { announceLifeMs } from './constants.ts'
@@ -67,7 +68,7 @@
     if (pool !== undefined && isSame) return
     void pool?.close()
     pool = new Pool(`http://${announcement.address}`, {
-      connections: announcement.connections, pipelining: 1, connect: { timeout: connectTimeoutMs }, keepAliveTimeout: idleConnectionMs
+      connections: announcement.connections, pipelining: 1, connect: createConnector(connectTimeoutMs), keepAliveTimeout: idleConnectionMs
     })
   }
   const setDown = () => {
--- a/src/core/node/types.ts
+++ b/src/core/node/types.ts
@@ -67,6 +67,8 @@
   load: number
   /** A service further down refused a part of this call. */
   shed: boolean
+  /** Share of the new work that the target and what it calls can bear; missing when no node answered. */
+  share?: number
 }
 
 /** Receives an answer as it comes. */
--- a/test/node/serve.test.ts
+++ b/test/node/serve.test.ts
@@ -3,13 +3,17 @@
 import type { AddressInfo, Server, Socket } from 'node:net'
 import { test } from 'node:test'
 import { Pool } from 'undici'
+import { createKnownShares } from '../../src/core/admission/index.ts'
 import type { ClaimClient } from '../../src/core/claims/client.ts'
 import { systemClock } from '../../src/core/clock/index.ts'
 import { emptyConfiguration } from '../../src/core/config/index.ts'
 import { createFreshness } from '../../src/core/freshness/index.ts'
 import { silentLog } from '../../src/core/log/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
+import { createDependencies } from '../../src/core/node/dependencies.ts'
+import { createConnector } from '../../src/core/http/index.ts'
 import { ownDialect } from '../../src/core/node/dialect.ts'
+import type { Dialect } from '../../src/core/node/dialect.ts'
 import { createGate } from '../../src/core/node/gate.ts'
 import { createCallServer } from '../../src/core/node/serve.ts'
 import { createSpans } from '../../src/core/node/spans.ts'
@@ -89,11 +93,13 @@
 }
 
 /** A serving side in front of a raw target, with fakes for the rest of the node. */
-async function withTarget (answer: Answer, use: (serve: (id: string) => Promise<{ attempted: Attempted, received: Received }>) => Promise<void>): Promise<void> {
+async function withTarget (
+  answer: Answer, use: (serve: (id: string) => Promise<{ attempted: Attempted, received: Received }>) => Promise<void>, dialect: Dialect = ownDialect
+): Promise<void> {
   const raw = await startRaw(answer)
   const { port } = raw.address() as AddressInfo
   const origin = `http://127.0.0.1:${port}`
-  const pool = new Pool(origin, { connections: 1, pipelining: 1 })
+  const pool = new Pool(origin, { connections: 1, pipelining: 1, connect: createConnector(1000) })
   const gate = createGate(8, systemClock, true)
   const target = {
     gate,
@@ -108,7 +114,7 @@
   const peers = { freshness: createFreshness(), configuration: emptyConfiguration } as unknown as Peers
   const environment = { clock: systemClock, random: createRandom(1), log: silentLog, metrics: createMetrics() }
   const crashes = { completed () {}, broke: async () => false }
-  const server = createCallServer({ dialect: ownDialect, keyProblem: () => undefined, peers, target, claims: {} as ClaimClient, crashes, spans: createSpans(), environment })
+  const server = createCallServer({ dependencies: createDependencies(systemClock), shares: createKnownShares(), dialect, keyProblem: () => undefined, peers, target, claims: {} as ClaimClient, crashes, spans: createSpans(), environment })
   try {
     await use(async (id) => {
       const received: Received = { status: 0, text: '', ended: false, aborted: false }
@@ -227,3 +233,39 @@
   assert.deepEqual([error.written, error.cause], [false, 'connect'])
   await pool.destroy()
 })
+
+const unframed: Dialect = { ...ownDialect, acceptsUnframed: true }
+
+test('answer without a length that ends with its connection is whole where targets send such', async () => {
+  await withTarget((_, socket) => socket.end('HTTP/1.1 200 OK\r\n\r\nall of it'), async (serve) => {
+    const { attempted, received } = await serve('a')
+    assert.equal(attempted.type, 'answered')
+    assert.equal(received.text, 'all of it')
+  }, unframed)
+})
+
+test('answer without a length whose connection is reset is broken off', async () => {
+  await withTarget((_, socket) => {
+    socket.write('HTTP/1.1 200 OK\r\n\r\nhalf of it')
+    setTimeout(() => socket.resetAndDestroy(), 30)
+  }, async (serve) => {
+    const { attempted, received } = await serve('a')
+    assert.equal(attempted.type, 'broken')
+    assert.deepEqual([received.ended, received.aborted], [false, true])
+  }, unframed)
+})
+
+test('answer without an id is refused where targets always repeat it', async () => {
+  await withTarget((request, socket, count) => socket.write(whole('text', count === 1 ? '' : `x-request-id: ${idOf(request)}\r\n`)), async (serve) => {
+    assert.equal((await serve('a')).attempted.type, 'failed')
+    assert.equal((await serve('b')).received.text, 'text')
+  }, { ...ownDialect, alwaysRepeatsId: true })
+})
+
+test('answer that says that the request was not run is no answer', async () => {
+  await withTarget((_, socket) => socket.write('HTTP/1.1 503 Full\r\nx-not-run: 1\r\ncontent-length: 4\r\n\r\nfull'), async (serve) => {
+    const { attempted, received } = await serve('a')
+    assert.deepEqual([attempted.type, attempted.type === 'refused' && attempted.arrived], ['refused', true])
+    assert.equal(received.status, 0)
+  }, { ...ownDialect, saysNotRun: (_status, headers) => headers['x-not-run'] !== undefined })
+})
