Calls that may be repeated leave a node that is suspected

Change: targets beside suspected nodes are chosen last, and idempotent calls that wait for the head of an answer from such a node are given up and tried elsewhere within the retry budget. Ruled out: doing so for others, which may have run.

--- a/src/core/node/attempts.ts
+++ b/src/core/node/attempts.ts
@@ -4,7 +4,7 @@
 import { priorities } from '../config/index.ts'
 import { fail } from '../errors/index.ts'
 import type { Failure } from '../errors/index.ts'
-import type { Member, Target } from '../membership/index.ts'
+import type { Member } from '../membership/index.ts'
 import type { Environment, Peers } from '../peers/index.ts'
 import { createRetryRatios, earnRetry, giveBack, lend, mayRetry, shareAllowance, spend, takeRetry } from '../retries/index.ts'
 import type { Budget } from '../retries/index.ts'
@@ -28,7 +28,7 @@
 }
 
 /** A target with the address of the node beside it. */
-interface Place extends Candidate {
+export interface Place extends Candidate {
   address: string
 }
 
@@ -46,16 +46,19 @@
   return last.type === 'refused' && mayHaveRun !== undefined ? { ...mayHaveRun, report: last.report } : last
 }
 
-/** Targets of each service that take work; of a service that has none, those that are about to leave. */
-function placesByService (members: readonly Member[]): Map<string, Place[]> {
-  const leaving = placesIn(members, 'leaving')
-  return new Map([...leaving, ...placesIn(members, 'up')])
+/** Targets of each service that take work; of a service that has none, those whose node is suspected, else those that are about to leave. */
+export function placesByService (members: readonly Member[]): Map<string, Place[]> {
+  const leaving = placesIn(members, ({ target }) => target?.state === 'leaving')
+  const suspected = placesIn(members, ({ target, status }) => target?.state === 'up' && status !== 'alive')
+  const sound = placesIn(members, ({ target, status }) => target?.state === 'up' && status === 'alive')
+  return new Map([...leaving, ...suspected, ...sound])
 }
 
-function placesIn (members: readonly Member[], state: Target['state']): Map<string, Place[]> {
+function placesIn (members: readonly Member[], isWanted: (member: Member) => boolean): Map<string, Place[]> {
   const places = new Map<string, Place[]>()
-  for (const { id, domain, address, target } of members) {
-    if (target === undefined || target.state !== state) continue
+  for (const member of members) {
+    const { id, domain, address, target } = member
+    if (target === undefined || !isWanted(member)) continue
     const known = places.get(target.service) ?? []
     known.push({ node: id, domain, slots: target.slots, address })
     places.set(target.service, known)
--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -93,6 +93,9 @@
   const crashes = createCrashReporter(peers, target, environment)
   const server = createCallServer({ dialect, keyProblem, dependencies, shares, peers, target, claims, crashes, spans, environment })
   const forwarder = createForwarder(peers, environment)
+  peers.onMembers((member) => {
+    if (member.status !== 'alive') forwarder.abandon(member.address)
+  })
   const caller = createCaller(peers, server, forwarder, options.fleetRetries ?? Infinity, shares, environment)
   const directory = createDirectory(peers.configuration, random)
   const refusals = createRefusals(claims, dialect, random)
