Rate shares outlive a lost leader; requests no longer wait two seconds for one

Change: shares are leased for 12 s, and end at once when their holder's process is known to have ended; a new leader gives shares again as soon as every node has reported, unless one is missing, which may go on with its share behind a cut. Requests wait 300 ms without a leader in place of 2 s.

--- a/src/core/control/control.ts
+++ b/src/core/control/control.ts
@@ -11,7 +11,7 @@
 import { closeServer, listen } from '../http/index.ts'
 import { createPeers } from '../peers/index.ts'
 import type { Environment, Peers } from '../peers/index.ts'
-import { createLedger, decideGrant, openAccount, spreadBurst } from '../rate/index.ts'
+import { adoptionMs, createLedger, decideGrant, openAccount, releaseHolder, settleLedger, spreadBurst } from '../rate/index.ts'
 import type { Demand, Grant, Ledger } from '../rate/index.ts'
 import { applyCommand, configurationOf, createRegistry } from '../registry/index.ts'
 import type { Command, Registry } from '../registry/index.ts'
@@ -211,8 +211,22 @@
     }
     return { grants }
   })
+  const boots = new Map<string, string>()
+  /** Time since which no node has been missing. */
+  let completeSince = Infinity
+  peers.onMembers(({ id, boot, status }) => {
+    const before = boots.get(id) ?? boot
+    boots.set(id, boot)
+    if (ledger === undefined) return
+    if (before !== boot) releaseHolder(ledger, before, clock.now())
+    if (status === 'left') releaseHolder(ledger, boot, clock.now())
+  })
   const openAccounts = () => {
     if (!isLeader()) return
+    const now = clock.now()
+    if (peers.missing().some(({ role }) => role === 'node')) completeSince = Infinity
+    else completeSince = Math.min(completeSince, now)
+    if (now - Math.max(completeSince, group.leaderSince()) >= adoptionMs) settleLedger(ledgerInOffice(), now)
     const configuration = peers.configuration()
     for (const workspace of limitedWorkspaces(configuration)) {
       const limit = limitOf(configuration, workspace)
--- a/src/core/peers/peers.ts
+++ b/src/core/peers/peers.ts
@@ -65,6 +65,8 @@
   /** Members that take part, the own process included. */
   members: () => readonly Member[]
   configuration: () => Configuration
+  /** Members that are suspected or lost: they may be cut off and alive. */
+  missing: () => Member[]
   setTarget: (target: Target | undefined) => void
   reportUnreachable: (id: string) => void
   /** Spreads a beacon of the own process. */
@@ -222,6 +224,7 @@
     self: () => state.self,
     members,
     configuration: () => configuration,
+    missing: () => allMembers(state).filter(({ status }) => status === 'suspect' || status === 'dead'),
     setTarget: (target) => advance({ type: 'target', target }),
     reportUnreachable: (id) => advance({ type: 'unreachable', id }),
     publish: (beacon) => hearBeacon(beacon, 0, address),
--- a/src/core/rate/constants.ts
+++ b/src/core/rate/constants.ts
@@ -1,5 +1,8 @@
 /** Life of a share without renewal, in milliseconds. */
-export const shareLeaseMs = 3000
+export const shareLeaseMs = 12_000
+
+/** Time in office after which every node that holds a share has reported to a new leader, in milliseconds. */
+export const adoptionMs = 1500
 
 /** Time between reports of a node, in milliseconds. */
 export const reportMs = 250
@@ -11,7 +14,7 @@
 export const tokenWaitMs = 120
 
 /** The same while no leader answers, in milliseconds. */
-export const leaderlessWaitMs = 2000
+export const leaderlessWaitMs = 300
 
 /** Time that a report goes unanswered after which a node counts as leaderless, in milliseconds. */
 export const leaderlessAfterMs = 60
--- a/src/core/rate/index.ts
+++ b/src/core/rate/index.ts
@@ -1,7 +1,7 @@
 export { acceptGrant, createBuckets, demandsOf, leave, take, takeForWaiting } from './buckets.ts'
 export type { Buckets } from './buckets.ts'
 export * from './constants.ts'
-export { createLedger, decideGrant, openAccount } from './ledger.ts'
+export { createLedger, decideGrant, openAccount, releaseHolder, settleLedger } from './ledger.ts'
 export type { Ledger } from './ledger.ts'
 export { spreadBurst } from './window.ts'
 export type { Demand, Grant, Limit } from './types.ts'
--- a/src/core/rate/ledger.ts
+++ b/src/core/rate/ledger.ts
@@ -148,6 +148,31 @@
   return created
 }
 
+/**
+ * All holders of earlier leaders' shares have reported: what they hold is adopted, the rest is free. To be called only
+ * when no node is missing, as one that is cut off may go on with its share until the lease ends.
+ */
+export function settleLedger (ledger: Ledger, now: number): void {
+  if (ledger.settledAt <= now) return
+  ledger.settledAt = now
+  for (const account of ledger.accounts.values()) {
+    settlePool(account, now)
+    account.settledAt = Math.min(account.settledAt, now)
+  }
+}
+
+/** A holder's process has ended for certain, so that nobody uses its shares any more. */
+export function releaseHolder (ledger: Ledger, holder: string, now: number): void {
+  for (const account of ledger.accounts.values()) {
+    const holding = account.holdings.get(holder)
+    if (holding === undefined) continue
+    settlePool(account, now)
+    account.held = subtract(account.held, largest(holding, now))
+    account.demand -= holding.demand
+    account.holdings.delete(holder)
+  }
+}
+
 /** Takes the holder's acknowledgement: older grants are no longer in use. Shares of earlier leaders are adopted. */
 function acknowledge (ledger: Ledger, holding: Holding, demand: Demand, now: number): void {
   const { held } = demand
--- a/test/bench/bench.test.ts
+++ b/test/bench/bench.test.ts
@@ -31,7 +31,7 @@
     assert.ok(figures.refusedInRate <= 1 - leastWorkspace, JSON.stringify(figures))
   })
 
-  test(`large-tenant-burst at ${deployment} harms no other workspace`, { todo: 'KNOWN-RED.txt, 3' }, () => {
+  test(`large-tenant-burst at ${deployment} harms no other workspace`, { todo: 'KNOWN-RED.txt, 2' }, () => {
     const figures = run('large-tenant-burst', deployment)
     assert.ok(figures.worstWorkspace >= leastWorkspace, JSON.stringify(figures))
     assert.ok(figures.refusedInRate <= 1 - leastWorkspace, JSON.stringify(figures))
--- a/test/rate/fleet.ts
+++ b/test/rate/fleet.ts
@@ -1,5 +1,5 @@
 import {
-  acceptGrant, createBuckets, createLedger, decideGrant, demandsOf, leaderlessAfterMs, leaderlessWaitMs, leave, openAccount, reportMs, take, takeForWaiting, tokenWaitMs
+  acceptGrant, adoptionMs, createBuckets, createLedger, decideGrant, demandsOf, leaderlessAfterMs, leaderlessWaitMs, leave, openAccount, releaseHolder, reportMs, settleLedger, take, takeForWaiting, tokenWaitMs
 } from '../../src/core/rate/index.ts'
 import type { Buckets, Grant, Ledger, Limit } from '../../src/core/rate/index.ts'
 import { createRandom } from '../../src/core/random/index.ts'
@@ -83,6 +83,7 @@
   const takeOffice = () => {
     if (ledger !== undefined || now < officeAt) return
     ledger = createLedger(`g${++generation}`, now)
+    officeAt = now
     openAccount(ledger, workspace, limit, now)
   }
   const deliver = () => {
@@ -121,6 +122,7 @@
       while (now < until) {
         now += 5
         takeOffice()
+        if (ledger !== undefined && cut.length === 0 && loss === 0 && now - officeAt >= adoptionMs) settleLedger(ledger, now)
         deliver()
         for (const [index, node] of nodes.entries()) sweep(node, index)
       }
@@ -128,6 +130,7 @@
     restart (index) {
       const position = index % nodes.length
       refused += nodes[position].waiting.length
+      if (ledger !== undefined) releaseHolder(ledger, nodes[position].boot, now)
       nodes[position] = { boot: `${nodes[position].boot}'`, buckets: createBuckets(), waiting: [], reportAt: now, unansweredSince: undefined }
     },
     changeLeader (gapMs) {
--- a/test/rate/rate.test.ts
+++ b/test/rate/rate.test.ts
@@ -51,7 +51,7 @@
   }), { seed, numRuns })
 })
 
-test('overload on all nodes admits the rate and no more', { todo: 'KNOWN-RED.txt, 1' }, () => {
+test('overload on all nodes admits the rate and no more', () => {
   const fleet = createFleet(16, { rate: 100, burst: 50 }, 1)
   send(fleet, 800, 10_000, (random) => Math.floor(random() * 16))
   assert.ok(fleet.oracle.lowest >= -tolerance)
@@ -81,7 +81,7 @@
   assert.ok(fleet.refused() < 0.01 * sent, `${fleet.refused()} of ${sent} refused`)
 })
 
-test('change of leader refuses little inside the rate', { todo: 'KNOWN-RED.txt, 2' }, () => {
+test('change of leader refuses little inside the rate', { todo: 'KNOWN-RED.txt, 1' }, () => {
   const fleet = createFleet(16, { rate: 100, burst: 50 }, 6)
   send(fleet, 50, 5000, (random) => Math.floor(random() * 16))
   const before = fleet.refused()
