--- a/test/platform/path.test.ts
+++ b/test/platform/path.test.ts
@@ -40,7 +40,9 @@
   assert.equal((await machines.replace(2, 'r3', { ...configuration(9, 'shop'), clusters: [] })).status, 400)
   assert.equal((await machines.replace(4, '0', configuration(3, 'shop'))).status, 200, 'the same order gets the same answer through any core')
   assert.deepEqual(JSON.parse((await machines.read(3)).text), configuration(3, 'shop'))
-  far.answerWith((_request, response) => response.writeHead(503, { 'x-dogwoodspring-not-executed': '1' }).end())
+  far.answerWith((request, response) => {
+    response.writeHead(503, { 'x-dogwoodspring-not-executed': '1', 'x-dogwoodspring-request-id': request.headers['x-dogwoodspring-request-id'] }).end()
+  })
   const refused = await machines.send(1, '/p/x')
   assert.equal(refused.status, 503)
   assert.ok(Number(refused.headers['retry-after']) > 0)
