New requests wait a quarter of their objective at most, over all queues together

Change: routes that name an objective bound the wait; gates count what their target turns away of begun work, and the share of new work falls as if it had waited long. Ruled out: repeating the calls, which the retry budget does not allow. Tests: admission and share.

--- a/src/core/admission/queue.ts
+++ b/src/core/admission/queue.ts
@@ -14,6 +14,8 @@
   weight: number
   arrivedAt: number
   deadlineAt: number
+  /** Longest time in the queue, in ms; without one it follows from the priority and the load. */
+  maxWaitMs?: number
 }
 
 /** Why a request was shed. */
@@ -114,7 +116,7 @@
   const kept: Entry[] = []
   for (const entry of admission.queue) {
     const isLate = !canFinish(admission, entry, now)
-    const waited = now - entry.arrivedAt > longestMs && entry.priority > 0
+    const waited = now - entry.arrivedAt > (entry.maxWaitMs ?? (entry.priority > 0 ? longestMs : Infinity))
     if (isLate || waited) decision.shed.push({ id: entry.id, reason: isLate ? 'too-late' : 'waited-too-long' })
     else kept.push(entry)
   }
--- a/src/core/admission/share.ts
+++ b/src/core/admission/share.ts
@@ -13,6 +13,9 @@
 /** Wait at which the share is cut by the least factor, in milliseconds. */
 const strongestCutMs = 400
 
+/** Part of the calls for begun work that the target may turn away before the share is cut. */
+const toleratedPart = 0.2
+
 /** Growth of the share in a window without held-up work. */
 const growth = 0.06
 
@@ -26,30 +29,42 @@
   windowAt: number
   /** Longest wait of begun work in this window, in ms. */
   longestWaitMs: number
+  /** Calls for begun work in this window, and how many of them the target turned away. */
+  begun: number
+  turnedAway: number
 }
 
 /** Creates the share of a target that bears everything. */
 export function createShare (now: number): Share {
-  return { value: 1, windowAt: now, longestWaitMs: 0 }
+  return { value: 1, windowAt: now, longestWaitMs: 0, begun: 0, turnedAway: 0 }
 }
 
 /** A call for begun work waited this long, or was given up after it. */
 export function recordBegunWait (share: Share, waitedMs: number, now: number): void {
   settleShare(share, now)
+  share.begun++
   share.longestWaitMs = Math.max(share.longestWaitMs, waitedMs)
 }
 
+/** The target turned away a call for begun work although there was room for it. */
+export function recordTurnedAway (share: Share, now: number): void {
+  settleShare(share, now)
+  share.turnedAway++
+}
+
 /** Closes the windows that have ended. */
 export function settleShare (share: Share, now: number): void {
   const windows = Math.floor((now - share.windowAt) / windowMs)
   if (windows < 1) return
-  const { longestWaitMs } = share
+  const longestWaitMs = share.turnedAway > share.begun * toleratedPart ? strongestCutMs : share.longestWaitMs
   if (longestWaitMs >= heldUpMs) share.value *= Math.max(strongestCut, 1 - (1 - strongestCut) * longestWaitMs / strongestCutMs)
   else share.value += growth
   share.value += growth * (windows - 1)
   share.value = Math.min(1, Math.max(minShare, share.value))
   share.windowAt += windows * windowMs
   share.longestWaitMs = 0
+  share.begun = 0
+  share.turnedAway = 0
 }
 
 /** How much of the work of a priority a share lets in, as a multiple of what it lets in of the least urgent. */
--- a/src/core/config/routes.ts
+++ b/src/core/config/routes.ts
@@ -15,6 +15,8 @@
   timeoutMs: number
   /** Targets that one request may be sent to; missing where the workspace's retry budget decides. */
   maxAttempts?: number
+  /** Time within which an answer has its full worth, in ms, where it is known. */
+  objectiveMs?: number
 }
 
 /** Parameters of a workspace after defaults. */
--- a/src/core/node/attempts.ts
+++ b/src/core/node/attempts.ts
@@ -86,12 +86,12 @@
     placesOf = members
     return places.get(service) ?? []
   }
-  const attemptOnce = async (call: Call, budget: Budget, place: Place, sink: Sink): Promise<Attempted> => {
+  const attemptOnce = async (call: Call, budget: Budget, place: Place, sink: Sink, waitMs: number | undefined): Promise<Attempted> => {
     const { id } = peers.self()
     const standing = standingOf(standings, place.node)
     const startedAt = clock.now()
     const lent = lend(budget)
-    const attempt: Call = { ...call, context: { ...call.context, attempt: randomId(), budget: lent } }
+    const attempt: Call = { ...call, context: { ...call.context, attempt: randomId(), budget: lent, waitMs } }
     standing.inFlight++
     const attempted = place.node === id ? await server.serve(attempt, sink) : await forwarder.forward(place.address, attempt, lent, sink)
     standing.inFlight--
@@ -133,6 +133,9 @@
         return refused(fail('overloaded', { service, reason: 'refused early, as targets further down refuse' }), true)
       }
       const tried = new Set<string>()
+      const startedAt = clock.now()
+      /** What is left of the time that the call may wait in queues. */
+      const waitLeft = () => call.context.waitMs === undefined ? undefined : call.context.waitMs - (clock.now() - startedAt)
       let next = call
       let mayHaveRun: Attempted | undefined
       while (true) {
@@ -140,7 +143,7 @@
         const fresh = all.filter((place) => !tried.has(place.node))
         const chosen = chooseTarget(standings, fresh.length > 0 ? fresh : all, peers.self().domain, clock.now(), random) as Place | undefined
         if (chosen === undefined) return mayHaveRun ?? refused(fail('noTarget', { service }), false)
-        const attempted = await attemptOnce(next, budget, chosen, sink)
+        const attempted = await attemptOnce(next, budget, chosen, sink, waitLeft())
         const overloaded = attempted.report.shed || (attempted.type === 'answered' && attempted.status === 503)
         recordOutcome(throttle, key, priority, !overloaded, clock.now())
         if (attempted.type === 'answered') earnRetry(ratios, service)
@@ -148,7 +151,7 @@
         tried.add(chosen.node)
         if (!canRepeat(next, attempted)) return conclusion(attempted, mayHaveRun)
         if (isUnseen(attempted)) {
-          if (tried.size >= Math.min(all.length, maxPlaces)) return conclusion(attempted, mayHaveRun)
+          if (tried.size >= Math.min(all.length, maxPlaces) || (waitLeft() ?? 1) <= 0) return conclusion(attempted, mayHaveRun)
           continue
         }
         if (budget.left < 1 || !takeRetry(ratios, service)) return conclusion(attempted, mayHaveRun)
--- a/src/core/node/constants.ts
+++ b/src/core/node/constants.ts
@@ -46,5 +46,8 @@
 /** Priority of the calls that a target makes for a request that it works on: turning them away wastes what was done. */
 export const begunPriority = -1
 
+/** Part of the objective that a new request may wait in queues before it is refused. */
+export const waitPart = 0.25
+
 /** Deepest chain of calls. */
 export const maxDepth = 64
--- a/src/core/node/entry.ts
+++ b/src/core/node/entry.ts
@@ -4,7 +4,7 @@
 import { invariant } from '../errors/index.ts'
 import { fingerprintOf } from '../quarantine/index.ts'
 import { createBudget } from '../retries/index.ts'
-import { begunPriority } from './constants.ts'
+import { begunPriority, waitPart } from './constants.ts'
 import type { CallerRequest, Dialect } from './dialect.ts'
 import { filters } from './filters.ts'
 import type { Arrival, EntryContext } from './filters.ts'
@@ -63,7 +63,8 @@
       resendable: idempotencyKey !== undefined,
       depth: 0,
       budget: parameters.retryBudget,
-      remainingMs: timeoutMs
+      remainingMs: timeoutMs,
+      waitMs: route.objectiveMs === undefined || said.fromTarget ? undefined : route.objectiveMs * waitPart
     },
     method,
     path,
--- a/src/core/node/gate.ts
+++ b/src/core/node/gate.ts
@@ -1,4 +1,4 @@
-import { createAdmission, createShare, finish, loadOf, offer, recordBegunWait, settleShare, sweepAdmission, withdraw } from '../admission/index.ts'
+import { createAdmission, createShare, finish, loadOf, offer, recordBegunWait, recordTurnedAway, settleShare, sweepAdmission, withdraw } from '../admission/index.ts'
 import type { Admission, Decision, Entry, FinishedRequest, Reason } from '../admission/index.ts'
 import type { Clock } from '../clock/index.ts'
 import { begunPriority, sweepMs } from './constants.ts'
@@ -18,6 +18,8 @@
   limit: () => number
   /** Share of the new work that the target can bear besides what was begun, 0 to 1. */
   share: () => number
+  /** The target turned away a request of this priority without running it. */
+  turnedAway: (priority: number) => void
   /** Starts anew for a target that has just started. */
   reset: (slots: number) => void
   /** Takes over a changed number of slots of the same target. */
@@ -76,6 +78,9 @@
       settleShare(share, clock.now())
       return share.value
     },
+    turnedAway (priority) {
+      if (priority <= begunPriority) recordTurnedAway(share, clock.now())
+    },
     reset (next) {
       const fresh = createAdmission(next, clock.now(), learns)
       admission = { ...fresh, running: admission.running, queue: admission.queue }
--- a/src/core/node/identity.ts
+++ b/src/core/node/identity.ts
@@ -61,8 +61,8 @@
     findDeployed (host, pathname) {
       const route = refreshTable()?.findRoute(hostName(host), pathname)
       if (route === undefined) return undefined
-      const { name, priority, idempotent, open, timeoutMs, maxAttempts } = route
-      return { template: '', name, service: drawService(route, random), priority, idempotent, open, timeoutMs, maxAttempts }
+      const { name, priority, idempotent, open, timeoutMs, maxAttempts, objectiveMs } = route
+      return { template: '', name, service: drawService(route, random), priority, idempotent, open, timeoutMs, maxAttempts, objectiveMs }
     },
     identifyDeployed (clear) {
       const keyId = digest(clear)
--- a/src/core/node/serve.ts
+++ b/src/core/node/serve.ts
@@ -137,7 +137,7 @@
     const { attempt, priority, workspace, weight, service } = call.context
     const { gate } = target
     const arrivedAt = clock.now()
-    const entering = gate.enter({ id: attempt, kind: call.context.route, priority, workspace: workspace ?? '', weight, arrivedAt, deadlineAt: call.deadlineAt })
+    const entering = gate.enter({ id: attempt, kind: call.context.route, priority, workspace: workspace ?? '', weight, arrivedAt, deadlineAt: call.deadlineAt, maxWaitMs: call.context.waitMs })
     const stopListening = call.cancellation.listen(() => gate.cancel(attempt))
     const admittance = entering instanceof Promise ? await entering : entering
     stopListening()
@@ -239,7 +239,7 @@
         return false
       },
       end () {
-        if (turnedAway) return conclude(turnAway(status, instance, claim), { failed: true })
+        if (turnedAway) return conclude(turnAway(call, status, instance, claim), { failed: true })
         sink.end()
         crashes.completed(call.context.fingerprint)
         if (claim !== undefined) complete(claim, status, answer, keptBytes <= maxKeptAnswerBytes ? Buffer.concat(kept) : undefined)
@@ -252,9 +252,10 @@
   })
 
   /** The target said that it did not run the request, so that another may. */
-  const turnAway = (status: number, instance: string | undefined, claim: HeldClaim | undefined): Attempted => {
+  const turnAway = (call: Call, status: number, instance: string | undefined, claim: HeldClaim | undefined): Attempted => {
     if (claim !== undefined) claims.release(claim)
     if (status === misdirectedStatus) target.lost(instance)
+    target.gate.turnedAway(call.context.priority)
     return refuse(fail('notExecuted', { status }), true, true)
   }
 
--- a/src/core/node/types.ts
+++ b/src/core/node/types.ts
@@ -35,6 +35,8 @@
   budget: number
   /** Time left, in milliseconds. */
   remainingMs: number
+  /** Time that the call may still wait in queues, in milliseconds; missing where the queue decides. */
+  waitMs?: number
 }
 
 /** One call at one node. */
--- a/test/admission/admission.test.ts
+++ b/test/admission/admission.test.ts
@@ -123,3 +123,10 @@
   run(3000, 1)
   assert.ok(run(500, 1) > 0.95)
 })
+
+test('a request waits no longer than its own bound, urgent or not', () => {
+  const admission = full(8)
+  for (const [id, priority] of [['urgent', 0], ['usual', 2]] as const) offer(admission, entry(id, { priority, maxWaitMs: 200 }), 0)
+  assert.deepEqual(sweepAdmission(admission, 200).shed, [])
+  assert.deepEqual(sweepAdmission(admission, 201).shed.map(({ id, reason }) => [id, reason]), [['urgent', 'waited-too-long'], ['usual', 'waited-too-long']])
+})
--- a/test/admission/share.test.ts
+++ b/test/admission/share.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { createKnownShares, createShare, letsIn, recordBegunWait, recordShare, settleShare, shareOf } from '../../src/core/admission/index.ts'
+import { createKnownShares, createShare, letsIn, recordBegunWait, recordShare, recordTurnedAway, settleShare, shareOf } from '../../src/core/admission/index.ts'
 import type { Share } from '../../src/core/admission/index.ts'
 
 /** Lets windows pass in which begun work waits for `waitMs`, or not at all. */
@@ -47,3 +47,16 @@
   assert.equal(shareOf(known, 's', 3500), 0.6)
   assert.equal(shareOf(known, 's', 9000), 1)
 })
+
+test('a target that turns begun work away lowers the share, a few refusals do not', () => {
+  const [few, many] = [createShare(0), createShare(0)]
+  for (let count = 0; count < 20; count++) {
+    recordBegunWait(few, 0, 0)
+    recordBegunWait(many, 0, 0)
+    if (count < 2) recordTurnedAway(few, 0)
+    if (count < 10) recordTurnedAway(many, 0)
+  }
+  settleShare(few, 400)
+  settleShare(many, 400)
+  assert.deepEqual([few.value, many.value], [1, 0.6])
+})
