--- a/src/core/control/control.ts
+++ b/src/core/control/control.ts
@@ -1,9 +1,9 @@
 import type { Server } from 'node:http'
 import { randomId } from '../auth/index.ts'
 import type { Hash } from '../claims/index.ts'
-import { limitedWorkspaces, limitOf, scopes } from '../config/index.ts'
+import { scopes } from '../config/index.ts'
 import type { Change } from '../config/index.ts'
-import { hasCaughtUp, holdsLease, isCurrent, membersOf } from '../consensus/index.ts'
+import { holdsLease, isCurrent, membersOf } from '../consensus/index.ts'
 import type { Message, Snapshot } from '../consensus/index.ts'
 import { fail, succeed } from '../errors/index.ts'
 import type { Outcome } from '../errors/index.ts'
@@ -11,17 +11,16 @@
 import { closeServer, listen } from '../http/index.ts'
 import { createPeers } from '../peers/index.ts'
 import type { Environment, Peers } from '../peers/index.ts'
-import { adoptionMs, createLedger, decideGrant, openAccount, releaseHolder, settleLedger, spreadBurst } from '../rate/index.ts'
-import type { Demand, Grant, Ledger } from '../rate/index.ts'
 import { applyCommand, configurationOf, createRegistry } from '../registry/index.ts'
 import type { Command, Registry } from '../registry/index.ts'
 import { createDisk, lockFolder, openLogStore } from '../storage/index.ts'
 import { handleAdmin } from './admin.ts'
 import { createAdminServer, credentialHash } from './api.ts'
-import { planComposition, watchMembers } from './composition.ts'
+import { keepComposition } from './keeper.ts'
 import { createGroup } from './group.ts'
 import type { Group } from './group.ts'
 import { openIdentity } from './identity.ts'
+import { serveRates } from './rates.ts'
 import { createReports } from './reports.ts'
 import type { NodeReport } from './reports.ts'
 import { createWatch, observeFleet, planSlots } from './housekeeping.ts'
@@ -30,9 +29,7 @@
 const messageTimeoutMs = 1000
 const forwardTimeoutMs = 4000
 const housekeepingMs = 500
-const compositionMs = 100
 const transferWaitMs = 400
-const accountsMs = 500
 
 /** A running control instance. */
 export interface Control {
@@ -188,75 +185,6 @@
   })
 }
 
-/** Serves rate shares while this instance leads. Each term of office has its own ledger. */
-function serveRates (rateWindowMs: number, peers: Peers, group: Group, isLeader: () => boolean, { clock }: Environment): NodeJS.Timeout {
-  let ledger: Ledger | undefined
-  let term = -1
-  const ledgerInOffice = () => {
-    if (ledger === undefined || term !== group.state.hardState.term) {
-      term = group.state.hardState.term
-      ledger = createLedger(`${term}/${peers.boot}`, group.leaderSince())
-    }
-    return ledger
-  }
-  peers.datagrams.method('rate.report', ({ holder, demands }: { holder: string, demands: Demand[] }): { grants: Grant[] } | null => {
-    if (!isLeader()) return null
-    const now = clock.now()
-    const current = ledgerInOffice()
-    const configuration = peers.configuration()
-    const grants: Grant[] = []
-    for (const demand of demands) {
-      const limit = limitOf(configuration, demand.workspace)
-      if (limit !== undefined) grants.push(decideGrant(current, holder, demand, spreadBurst(limit, rateWindowMs), now))
-    }
-    return { grants }
-  })
-  const boots = new Map<string, string>()
-  /** Time since which no node has been missing. */
-  let completeSince = Infinity
-  peers.onMembers(({ id, boot, status }) => {
-    const before = boots.get(id) ?? boot
-    boots.set(id, boot)
-    if (ledger === undefined) return
-    if (before !== boot) releaseHolder(ledger, before, clock.now())
-    if (status === 'left') releaseHolder(ledger, boot, clock.now())
-  })
-  const openAccounts = () => {
-    if (!isLeader()) return
-    const now = clock.now()
-    if (peers.missing().some(({ role }) => role === 'node')) completeSince = Infinity
-    else completeSince = Math.min(completeSince, now)
-    if (now - Math.max(completeSince, group.leaderSince()) >= adoptionMs) settleLedger(ledgerInOffice(), now)
-    const configuration = peers.configuration()
-    for (const workspace of limitedWorkspaces(configuration)) {
-      const limit = limitOf(configuration, workspace)
-      if (limit !== undefined) openAccount(ledgerInOffice(), workspace, spreadBurst(limit, rateWindowMs), clock.now())
-    }
-  }
-  return setInterval(openAccounts, accountsMs)
-}
-
-/** Keeps the group complete while this instance leads. */
-function keepComposition (id: string, peers: Peers, group: Group, isLeader: () => boolean, { clock, log }: Environment): NodeJS.Timeout {
-  const missingSince = new Map<string, number>()
-  let busy = false
-  return setInterval(() => {
-    if (!isLeader()) return missingSince.clear()
-    const now = clock.now()
-    const members = membersOf(group.state)
-    const living = peers.members().filter(({ role }) => role === 'control').map(({ id, address, startedAt }) => ({ id, address, startedAt }))
-    watchMembers(missingSince, members, living, now)
-    const view = { self: id, members, living, missingSince, isCaughtUp: (member: string) => hasCaughtUp(group.state, member) }
-    const planned = busy ? undefined : planComposition(view, now)
-    if (planned === undefined) return
-    busy = true
-    log.info('member list changes', { before: members, after: planned })
-    void group.changeMembers(() => planned).finally(() => {
-      busy = false
-    })
-  }, compositionMs)
-}
-
 /** Starts what the leader does at intervals: beacons, placement of claims, the first operator. */
 function startDuties (
   id: string, options: ControlOptions, peers: Peers, group: Group, isLeader: () => boolean, registry: () => Registry, hash: Hash, { clock, log }: Environment
--- a/src/core/node/filters.ts
+++ b/src/core/node/filters.ts
@@ -12,7 +12,7 @@
 import { holdsKey } from './headers.ts'
 import type { Directory, Identity } from './identity.ts'
 import type { Refusals } from './refusals.ts'
-import type { KeyCheck } from './serve.ts'
+import type { KeyCheck } from './key-check.ts'
 
 const maxIdempotencyKeyLength = 256
 
--- a/src/core/node/serve.ts
+++ b/src/core/node/serve.ts
@@ -2,10 +2,8 @@
 import type { ClaimClient, HeldClaim } from '../claims/client.ts'
 import { maxKeptAnswerBytes } from '../claims/index.ts'
 import type { KeptAnswer } from '../claims/index.ts'
-import type { Clock } from '../clock/index.ts'
 import { fail } from '../errors/index.ts'
 import type { Failure } from '../errors/index.ts'
-import { checkFresh } from '../freshness/index.ts'
 import type { Environment, Peers } from '../peers/index.ts'
 import { shareOf } from '../admission/index.ts'
 import type { KnownShares } from '../admission/index.ts'
@@ -15,11 +13,12 @@
 import type { Dependencies } from './dependencies.ts'
 import type { Dialect } from './dialect.ts'
 import { headerOf } from './headers.ts'
+import type { KeyCheck } from './key-check.ts'
 import { createLane } from './lane.ts'
 import type { Span, Spans } from './spans.ts'
 import type { OwnTarget } from './target.ts'
 import { emptyReport } from './types.ts'
-import type { Attempted, Call, CallContext, Report, Sink } from './types.ts'
+import type { Attempted, Call, Report, Sink } from './types.ts'
 
 /** Status of an answer from a target that is not the one that was meant. */
 const misdirectedStatus = 421
@@ -47,32 +46,6 @@
   environment: Environment
 }
 
-/** Says why a call may not run for the key that came with it, or undefined. */
-export type KeyCheck = (context: Pick<CallContext, 'workspace' | 'keyId'>) => Failure | undefined
-
-/** How keys are checked. */
-export interface KeyCheckOptions {
-  configuredBy: Dialect['configuredBy']
-  /** A node that has not heard of a quorum for a while refuses calls that need a key. */
-  strict: boolean
-}
-
-/**
- * Creates the check of keys. Keys of a deployment are looked up where the request comes in only: another
- * node may not have the version yet that brought the key.
- */
-export function createKeyCheck (peers: Peers, clock: Clock, { configuredBy, strict }: KeyCheckOptions): KeyCheck {
-  return ({ workspace, keyId }) => {
-    if (workspace === null) return undefined
-    const fresh = checkFresh(peers.freshness, clock.now())
-    if (strict && !fresh.ok) return fresh
-    if (configuredBy === 'deployment') return undefined
-    const key = peers.configuration().keys[keyId ?? '']
-    if (key?.workspace === workspace) return undefined
-    return fail('unauthorized', { reason: 'the key was withdrawn' })
-  }
-}
-
 /** Says until when a fingerprint is refused, or undefined. */
 function banProblem (fingerprint: string, peers: Peers, date: Date): Failure | undefined {
   const ban = peers.configuration().bans[fingerprint]
