--- a/test/node/serve.test.ts
+++ b/test/node/serve.test.ts
@@ -269,3 +269,18 @@
     assert.equal(received.status, 0)
   }, { ...ownDialect, saysNotRun: (_status, headers) => headers['x-not-run'] !== undefined })
 })
+
+test('answer without a length whose connection is reset at once, with its last bytes still unread, is broken off', async () => {
+  await withTarget((_, socket) => {
+    socket.write('HTTP/1.1 200 OK\r\n\r\nhalf of it')
+    socket.resetAndDestroy()
+    const until = performance.now() + 30
+    while (performance.now() < until); // Bytes and reset lie ready together when the receiver looks.
+  }, async (serve) => {
+    for (let count = 0; count < 5; count++) {
+      const { attempted, received } = await serve('a')
+      assert.notEqual(attempted.type, 'answered')
+      assert.equal(received.ended, false)
+    }
+  }, unframed)
+})
--- a/test/platform/path.test.ts
+++ b/test/platform/path.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict'
+import type { IncomingMessage } from 'node:http'
 import { test } from 'node:test'
 import { configuration, createMachines, eventually } from './machines.ts'
 import type { Machines } from './machines.ts'
@@ -86,3 +87,20 @@
   assert.equal(await ended, 0)
   assert.ok(performance.now() - startedAt < 6000)
 }))
+
+test('an answer without a length that breaks off on its way over two machines never looks whole', () => withMachines(async (machines) => {
+  for (const number of [1, 2, 3]) machines.startCore(number, true)
+  const near = await machines.startSidecar(1, 'other')
+  const far = await machines.startSidecar(2, 'shop')
+  await eventually(async () => await near.beat('ready') === 200 && await far.beat('ready') === 200)
+  await accept(machines, 1, '0', configuration(3, 'shop'))
+  await eventually(async () => (await machines.send(1, '/p/x')).status === 200)
+  const head = (request: IncomingMessage) => `HTTP/1.1 200 OK\r\nx-dogwoodspring-request-id: ${String(request.headers['x-dogwoodspring-request-id'])}\r\n\r\n`
+  far.answerWith((request) => void request.socket.end(`${head(request)}all of it`))
+  assert.equal((await machines.send(1, '/p/x')).text, 'all of it')
+  far.answerWith((request) => {
+    request.socket.write(`${head(request)}half of it`)
+    setTimeout(() => request.socket.resetAndDestroy(), 20)
+  })
+  for (const sidecar of [1, 2]) assert.equal((await machines.send(sidecar, '/p/x')).status, 0)
+}))
