--- a/src/core/rate/client.ts
+++ b/src/core/rate/client.ts
@@ -4,8 +4,8 @@
 import type { Demand, Grant } from './types.ts'
 
 const reportPatience = { retryMs: 90, timeoutMs: 300 }
-const pumpMs = 5
-const idleMs = 50
+const pumpMs = 15
+const idleMs = 125
 
 interface Waiter {
   admit: (admitted: boolean) => void
