--- a/test/platform/translation.test.ts
+++ b/test/platform/translation.test.ts
@@ -1,3 +1,4 @@
+import { spawnSync } from 'node:child_process'
 import assert from 'node:assert/strict'
 import { mkdtempSync, writeFileSync } from 'node:fs'
 import { IncomingMessage } from 'node:http'
@@ -153,3 +154,12 @@
 function messageOf (outcome: { ok: boolean, message?: string }): string {
   return outcome.message ?? 'accepted'
 }
+
+test('a program without settings or secret ends with one line for each and exit code 2', () => {
+  const program = join(import.meta.dirname, '../../platform/main.ts')
+  const environment = { ...process.env, DOGWOODSPRING_BOOT: '/nowhere', DOGWOODSPRING_CLUSTER_SECRET: 'short' }
+  const { status, stderr } = spawnSync(process.execPath, ['--import', 'tsx', program, 'sidecar'], { env: environment, encoding: 'utf8' })
+  assert.equal(status, 2)
+  assert.match(stderr, /DOGWOODSPRING_BOOT is "\/nowhere"; allowed: .*no such file/)
+  assert.match(stderr, /--cluster-secret is "\(hidden\)"; allowed: at least 16 characters each/)
+})
