The rate fleet of the tests settles a new leader's ledger by the same strict rule as the shell

Cause: read again, the harness let a leader settle as soon as no node was cut off, while the shell wants 1.5 s of that. Change: the harness counts the same time.

--- a/test/rate/fleet.ts
+++ b/test/rate/fleet.ts
@@ -56,6 +56,8 @@
   let ledger: Ledger | undefined = createLedger('g0', 0)
   openAccount(ledger, workspace, limit, 0)
   let officeAt = 0
+  /** Time since which no node has been cut off and no message lost. */
+  let completeSince = 0
   let generation = 0
   let cut: readonly number[] = []
   let loss = 0
@@ -122,7 +124,8 @@
       while (now < until) {
         now += 5
         takeOffice()
-        if (ledger !== undefined && cut.length === 0 && loss === 0 && now - officeAt >= adoptionMs) settleLedger(ledger, now)
+        if (cut.length > 0 || loss > 0) completeSince = now
+        if (ledger !== undefined && now - Math.max(completeSince, officeAt) >= adoptionMs) settleLedger(ledger, now)
         deliver()
         for (const [index, node] of nodes.entries()) sweep(node, index)
       }
