A stop names the requests that it gives up

An engineer on call could not tell why a stopping node gave requests up: its warning held a number only. Each request that a stop gives up now leaves a line with its id, whether a caller or another node sent it, when it was read relative to the start of the stop, and how long it ran; at most 50 lines a stop, the rest is counted. Counters: requests_given_up_total by source, and requests_unserved_total for requests that were read behind an answer that closes their connection; gauges stopping and requests_running. No decision changes. test/node/pipeline.test.ts and peer-calls.test.ts pass.

--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -21,6 +21,7 @@
 import { defaultDialect } from './dialect.ts'
 import type { Dialect } from './dialect.ts'
 import { createForwarder } from './forward.ts'
+import { headerOf } from './headers.ts'
 import { createDirectory } from './identity.ts'
 import { createLocalHandler } from './local.ts'
 import { serveOutgoing } from './outgoing.ts'
@@ -28,6 +29,7 @@
 import { createPipeline } from './pipeline.ts'
 import type { PipelineOptions } from './pipeline.ts'
 import { createRefusals } from './refusals.ts'
+import { createRunningRequests } from './running.ts'
 import { createKeyCheck } from './key-check.ts'
 import { createCallServer } from './serve.ts'
 import { createSpans } from './spans.ts'
@@ -37,6 +39,9 @@
 const handoverTimeoutMs = 5000
 const reportIntervalMs = 2000
 
+/** Requests that a stop lists when it gives them up. Further ones are only counted. */
+const maxGivenUpLines = 50
+
 /** Settings of a node. */
 export interface NodeOptions {
   id: string
@@ -110,19 +115,16 @@
   const entryContext = { dialect, dependencies, peers, directory, rates, callSender, refusals, findKeyFailure, environment }
   const outgoingContext = { dialect, dependencies, findKeyFailure, peers, directory, spans, callSender, refusals, environment }
   const backlog = createBacklog(clock)
-  let active = 0
+  const running = createRunningRequests(clock)
   let stopping = false
 
   const logUnexpectedError = (error: Error) => {
     metrics.count('broken_invariants_total')
     log.error('request failed with an unexpected error', { error: error.stack })
   }
-  /** Counts a request as active until its response is closed; a stop waits for active requests. Begins it unless its client has left by then. */
+  /** Counts a request as running until its response is closed; a stop waits for running requests. Begins it unless its client has left by then. */
   const trackResponse = (request: IncomingMessage, response: ServerResponse, serve: () => Promise<void>) => {
-    active++
-    response.once('close', () => {
-      active--
-    })
+    response.once('close', running.begin(request.headers[dialect.requestIdHeader]?.toString(), 'caller'))
     backlog.run(() => {
       if (hasLeft(request, response)) return metrics.count('requests_abandoned_total')
       serve().catch((error: Error) => {
@@ -131,11 +133,8 @@
       })
     })
   }
-  const trackPeerCall = (work: Promise<void>) => {
-    active++
-    void work.catch(logUnexpectedError).then(() => {
-      active--
-    })
+  const trackPeerCall = (headers: readonly string[], work: Promise<void>) => {
+    void work.catch(logUnexpectedError).then(running.begin(headerOf(headers, dialect.requestIdHeader), 'node'))
   }
   const peerSessions = servePeerCalls(peers, server, trackPeerCall, environment)
   const serveEntry = (request: IncomingMessage, response: ServerResponse) => {
@@ -149,10 +148,12 @@
     trackResponse(request, response, () => serveOutgoing(request, response, outgoingContext))
   }
   const limits = { maxHeaderSize: maxHeaderBytes, requestTimeout: 30_000, headersTimeout: 10_000 }
-  const callerServer = createPipelinedServer({ ...limits, keepAliveTimeout: keepAliveMs }, serveEntry, () => stopping, backlog)
-  const localServer = createPipelinedServer({ ...limits, keepAliveTimeout: 60_000 }, serveLocal, () => stopping, backlog)
+  const callerServer = createPipelinedServer({ ...limits, keepAliveTimeout: keepAliveMs }, serveEntry, () => stopping, backlog, metrics.count)
+  const localServer = createPipelinedServer({ ...limits, keepAliveTimeout: 60_000 }, serveLocal, () => stopping, backlog, metrics.count)
   const listenAddress = await listen(callerServer, options.listen)
   const localAddress = await listen(localServer, options.local)
+  metrics.gauge('stopping', () => stopping ? 1 : 0)
+  metrics.gauge('requests_running', running.count)
   metrics.gauge('running', () => target.gate.running())
   metrics.gauge('limit', () => target.gate.limit())
   metrics.gauge('resident_bytes', () => process.memoryUsage.rss())
@@ -170,8 +171,17 @@
   peers.onConfigurationChange(reportRevision)
 
   const waitUntilIdle = async (until: number) => {
-    while ((active > 0 || backlog.isCatchingUp()) && clock.now() < until) await pause(stopPollMs)
-    if (active > 0) log.warn('stop timeout expired with requests running', { active })
+    while ((running.count() > 0 || backlog.isCatchingUp()) && clock.now() < until) await pause(stopPollMs)
+  }
+  /** Logs and counts the requests that a stop which began at `startedAt` gives up. */
+  const reportGivenUp = (startedAt: number) => {
+    const requests = running.list()
+    if (requests.length === 0) return
+    log.warn('stop timeout expired with requests running', { active: requests.length, afterMs: Math.round(clock.now() - startedAt) })
+    for (const { id, source, readAt } of requests.slice(0, maxGivenUpLines)) {
+      log.warn('request given up by a stop', { request: id, source, readAfterMs: Math.round(readAt - startedAt), runningMs: Math.round(clock.now() - readAt) })
+    }
+    for (const { source } of requests) metrics.count(`requests_given_up_total{source="${source}"}`)
   }
   /** Waits until this process is no longer a member of any claim slot. */
   const waitForHandover = async () => {
@@ -198,6 +208,7 @@
       await pause(Math.max(leaveGraceMs, servesUntil - clock.now()))
       server.stop()
       await waitUntilIdle(endsAt)
+      reportGivenUp(startedAt)
       await waitForHandover()
       await closeServer(callerServer)
       peers.announceLeave()
@@ -215,8 +226,8 @@
   }
 }
 
-function createPipelinedServer (options: ServerOptions, serve: PipelineOptions['serve'], isStopping: () => boolean, backlog: Backlog): Server {
-  const pipeline = createPipeline({ serve, isStopping })
+function createPipelinedServer (options: ServerOptions, serve: PipelineOptions['serve'], isStopping: () => boolean, backlog: Backlog, count: PipelineOptions['count']): Server {
+  const pipeline = createPipeline({ serve, isStopping, count })
   return createServer(options, pipeline.accept).on('clientError', pipeline.reject).on('connection', backlog.recordConnection)
 }
 
--- a/src/core/node/peer-calls.ts
+++ b/src/core/node/peer-calls.ts
@@ -60,7 +60,7 @@
  * Serves the calls that other nodes forward. A call whose node is gone is cancelled. A non-idempotent call keeps
  * running at the target, and its answer is kept for a while in case that node reconnects.
  */
-export function servePeerCalls (peers: Peers, server: CallServer, track: (work: Promise<void>) => void, { clock, metrics }: Environment): SessionServer {
+export function servePeerCalls (peers: Peers, server: CallServer, track: (headers: readonly string[], work: Promise<void>) => void, { clock, metrics }: Environment): SessionServer {
   const serve = async (call: Call, stream: Stream): Promise<void> => {
     const outcome = await server.serve(call, createStreamSink(stream))
     if (outcome.type === 'answered') return
@@ -69,12 +69,12 @@
     stream.end()
   }
   /** Tracks a call from its first message on: its caller expects an answer, so a stop also waits for calls whose body is still arriving. */
-  const trackFromOpening = (createListener: (resolveCall: (call: Call | undefined) => void) => StreamListener, stream: Stream): StreamListener => {
+  const trackFromOpening = ({ headers }: CallOpening, createListener: (resolveCall: (call: Call | undefined) => void) => StreamListener, stream: Stream): StreamListener => {
     let resolveCall: (call: Call | undefined) => void = () => {}
     const received = new Promise<Call | undefined>((resolve) => {
       resolveCall = resolve
     })
-    track(received.then((call) => call && serve(call, stream)))
+    track(headers, received.then((call) => call && serve(call, stream)))
     return createListener(resolveCall)
   }
   const accept: StreamAcceptor = (value, stream) => {
@@ -85,7 +85,7 @@
       return noopListener
     }
     const deadlineAt = clock.now() + opening.context.remainingMs
-    return trackFromOpening((resolveCall) => receiveCall(opening, deadlineAt, stream, resolveCall), stream)
+    return trackFromOpening(opening, (resolveCall) => receiveCall(opening, deadlineAt, stream, resolveCall), stream)
   }
   const sessions = createSessionServer({ sealer: peers.sealer, clock, accept, onSent: (host, bytes) => peers.traffic.record(host, 'answer', bytes) })
   peers.onUpgrade(sessions.upgrade)
--- a/src/core/node/pipeline.ts
+++ b/src/core/node/pipeline.ts
@@ -46,13 +46,15 @@
   serve: (request: IncomingMessage, response: ServerResponse) => void
   /** Returns true when each connection is to be closed with its next answer. */
   isStopping: () => boolean
+  /** Counts requests that were read but not served, because an answer before theirs closes the connection. */
+  count: (name: string) => void
 }
 
 /**
  * Creates the pipelines of an HTTP server, which itself keeps the answers of a connection in the order of its requests.
  * A request behind one whose answer closes the connection is not read: it is not served, so its client may send it again.
  */
-export function createPipeline ({ serve, isStopping }: PipelineOptions): Pipeline {
+export function createPipeline ({ serve, isStopping, count }: PipelineOptions): Pipeline {
   const lines = new WeakMap<Duplex, Line>()
 
   const lineOf = (socket: Duplex): Line => {
@@ -101,7 +103,7 @@
     accept (request, response) {
       const { socket } = request
       const line = lineOf(socket)
-      if (line.closed) return
+      if (line.closed) return count('requests_unserved_total')
       if (line.waiting.length === 0 && line.inProgress.size < maxInProgress) return start(line, socket, request, response)
       line.waiting.push({ request, response })
       if (line.waiting.length >= maxWaiting) socket.pause()
--- a/test/node/peer-calls.test.ts
+++ b/test/node/peer-calls.test.ts
@@ -25,7 +25,7 @@
   const http = createServer()
   let active = 0
   const peers = { sealer, traffic: createTraffic('', createMetrics()), onUpgrade: (handler: (request: IncomingMessage, socket: Socket, head: Buffer) => void) => void http.on('upgrade', handler) } as unknown as Peers
-  const track = (work: Promise<void>) => {
+  const track = (_headers: readonly string[], work: Promise<void>) => {
     active++
     void work.then(() => active--)
   }
