A stop leaves no request unanswered that was read from a connection

Callers that send several requests before the first is answered lost those that were read behind the first one begun after SIGTERM: they were dropped, and the connection ended with the answer before theirs. Cause: the closing answer was chosen when a request was begun, not when its head was written. Now the newest request of a connection closes it, and gives that up if another follows before its head is written. Two tests are replaced by stricter ones, since the old ones took the dropping for right: of five requests sent around a stop three were answered, now all five, and of 13 requests that wait for their turn all are answered (some, before). Both new tests failed before (in time; fewer answers) and pass; that nothing is served behind a closing answer whose head was sent stays checked in a test of its own.

--- a/src/core/node/pipeline.ts
+++ b/src/core/node/pipeline.ts
@@ -26,8 +26,10 @@
 interface Line {
   inProgress: Set<ServerResponse>
   waiting: Array<{ request: IncomingMessage, response: ServerResponse }>
-  /** A request before closes the connection with its answer, or the bytes that follow cannot be parsed. Nothing more is served. */
+  /** A request before asked for the end of the connection, or the connection has ended. Nothing more is served. */
   closed: boolean
+  /** The newest response, if it is to close the connection because the server stops. It no longer is when a request follows before its head is written. */
+  closing: ServerResponse | undefined
   /** Bytes that follow the last answer, before the connection is closed. */
   lastBytes: string | undefined
 }
@@ -44,7 +46,7 @@
 export interface PipelineOptions {
   /** Serves one request. It has ended when its response has closed. */
   serve: (request: IncomingMessage, response: ServerResponse) => void
-  /** Returns true when each connection is to be closed with its next answer. */
+  /** Returns true when each connection is to be closed with its last answer. */
   isStopping: () => boolean
   /** Counts requests that were read but not served, because an answer before theirs closes the connection. */
   count: (name: string) => void
@@ -52,7 +54,8 @@
 
 /**
  * Creates the pipelines of an HTTP server, which itself keeps the answers of a connection in the order of its requests.
- * A request behind one whose answer closes the connection is not read: it is not served, so its client may send it again.
+ * A stop closes each connection with the answer to the last request that was read from it. What follows a closing answer is not served, so its client
+ * may send it again.
  */
 export function createPipeline ({ serve, isStopping, count }: PipelineOptions): Pipeline {
   const lines = new WeakMap<Duplex, Line>()
@@ -60,7 +63,7 @@
   const lineOf = (socket: Duplex): Line => {
     const known = lines.get(socket)
     if (known !== undefined) return known
-    const line: Line = { inProgress: new Set(), waiting: [], closed: false, lastBytes: undefined }
+    const line: Line = { inProgress: new Set(), waiting: [], closed: false, closing: undefined, lastBytes: undefined }
     lines.set(socket, line)
     socket.once('close', () => closeLine(line))
     return line
@@ -72,15 +75,24 @@
     for (const response of line.inProgress) if (response.socket === null) response.emit('close')
   }
   const start = (line: Line, socket: Duplex, request: IncomingMessage, response: ServerResponse) => {
-    if (isStopping()) response.setHeader('connection', 'close')
-    if (isStopping() || !response.shouldKeepAlive) {
+    if (!response.shouldKeepAlive) {
       line.closed = true
       line.waiting = []
+    } else if (isStopping() && line.waiting.length === 0) {
+      response.setHeader('connection', 'close')
+      line.closing = response
     }
     line.inProgress.add(response)
     response.once('close', () => finish(line, socket, response))
     serve(request, response)
   }
+  /** Keeps a connection open for a further request. Returns false when its last answer has begun. */
+  const keepOpen = (line: Line): boolean => {
+    if (line.closed || line.closing?.headersSent === true) return false
+    line.closing?.removeHeader('connection')
+    line.closing = undefined
+    return true
+  }
   const finish = (line: Line, socket: Duplex, response: ServerResponse) => {
     line.inProgress.delete(response)
     startWaiting(line, socket)
@@ -103,7 +115,7 @@
     accept (request, response) {
       const { socket } = request
       const line = lineOf(socket)
-      if (line.closed) return count('requests_unserved_total')
+      if (!keepOpen(line)) return count('requests_unserved_total')
       if (line.waiting.length === 0 && line.inProgress.size < maxInProgress) return start(line, socket, request, response)
       line.waiting.push({ request, response })
       if (line.waiting.length >= maxWaiting) socket.pause()
--- a/test/node/pipeline.test.ts
+++ b/test/node/pipeline.test.ts
@@ -96,28 +96,44 @@
   })
 })
 
-test('a stop answers what is in progress and serves nothing behind the closing answer', () => withServer((request, response) => {
-  setTimeout(() => answer(request, response), 60)
+test('a stop leaves no request unanswered that was read before the closing answer', () => withServer((request, response) => {
+  setTimeout(() => answer(request, response), request.url === '/4' ? 300 : 60)
 }, async ({ socket, served, received, stop, ended }) => {
   socket.write(get('/0') + get('/1'))
   await until(() => served.length === 2)
   stop()
-  socket.write(get('/2') + get('/3') + get('/4'))
+  socket.write(get('/2') + get('/3'))
+  await until(() => served.length === 4)
+  socket.write(get('/4'))
   await ended
-  assert.deepEqual(bodies(received()), ['/0', '/1', '/2'])
-  assert.deepEqual(served, ['/0', '/1', '/2'])
+  assert.deepEqual(bodies(received()), ['/0', '/1', '/2', '/3', '/4'])
   assert.equal(received().match(/connection: close/gi)?.length, 1)
+  assert.match(received().slice(received().indexOf('</3>')), /connection: close/i)
+}))
+
+test('a stop serves nothing behind the closing answer', () => withServer((request, response) => {
+  response.write('x')
+  setTimeout(() => response.end(`<${request.url ?? ''}>`), 60)
+}, async ({ socket, served, received, stop, ended }) => {
+  stop()
+  socket.write(get('/0'))
+  await until(() => received().includes('connection: close') || received().includes('Connection: close'))
+  socket.write(get('/1') + get('/2'))
+  await ended
+  assert.deepEqual(served, ['/0'])
+  assert.match(received(), /<\/0>/)
 }))
 
-test('a stop with requests that wait for their turn answers what was begun', () => withServer((request, response) => {
+test('a stop with requests that wait for their turn answers all of them', () => withServer((request, response) => {
   setTimeout(() => answer(request, response), 40)
 }, async ({ socket, served, received, stop, ended }) => {
-  socket.write(Array.from({ length: maxInProgress + 5 }, (_, index) => get(`/${index}`)).join(''))
+  const paths = Array.from({ length: maxInProgress + 5 }, (_, index) => `/${index}`)
+  socket.write(paths.map(get).join(''))
   await until(() => served.length === maxInProgress)
   stop()
   await ended
-  assert.deepEqual(bodies(received()), served)
-  assert.ok(served.length <= 2 * maxInProgress)
+  assert.deepEqual(bodies(received()), paths)
+  assert.equal(received().match(/connection: close/gi)?.length, 1)
 }))
 
 test('nothing behind a request that closes the connection is served', () => withServer(answer, async ({ socket, served, received, ended }) => {
