A signature that is not ASCII no longer ends the process

Callers saw (in the test) a node or control instance end on one UDP packet that nobody had signed: any sender that reaches the peer port could end every process, again and again.

Cause: signatures were compared by the number of their characters and then as bytes; a character that is not ASCII takes two bytes, and timingSafeEqual throws when the lengths differ. The throw left the socket's listener.

Evidence: test "a signature that is not ASCII ends no process" failed with RangeError: Input buffers must have the same byte length.

Change: the lengths of the bytes are compared. Measured: the test passes, and so do all of test/node/auth.test.ts.

Why it works: timingSafeEqual is reached only with two buffers of the same length, for which it cannot throw, whatever the bytes are.

--- a/src/core/auth/sealer.ts
+++ b/src/core/auth/sealer.ts
@@ -17,8 +17,10 @@
   return createHmac('sha256', secret).update(stamp).update('\n').update(content).digest('base64url').slice(0, macLength)
 }
 
+/** Compares the bytes, because characters that are not ASCII take several and the comparison throws on different lengths. */
 function equalMacs (left: string, right: string): boolean {
-  return left.length === right.length && timingSafeEqual(Buffer.from(left), Buffer.from(right))
+  const [leftBytes, rightBytes] = [Buffer.from(left), Buffer.from(right)]
+  return leftBytes.length === rightBytes.length && timingSafeEqual(leftBytes, rightBytes)
 }
 
 /**
