A signed message of another form no longer ends the process

Callers saw (in the test) a process end on one signed datagram: a message that is nil, or an answer whose error is null, as a faulty or newer process may send them.

Cause: the library's checks read properties of the message before they know that it is an object, and the reason of a failed request was read from an error of unknown form. Both throw in the socket's listener.

Evidence: "a signed message with no object ends no process" failed with TypeError: Cannot read properties of null (reading 'jsonrpc'), "an answer with an error that is null" with (reading 'message').

Answers to unknown methods are counted under one name, as a sender could choose the names of counters before.

Why it works: every property is read from a value whose form was checked before, so no form of message is left that throws in the listener.

--- a/src/core/log/index.ts
+++ b/src/core/log/index.ts
@@ -21,3 +21,6 @@
 
 /** Logger that discards all entries. */
 export const silentLog: Log = createConsola({ level: -999, reporters: [] })
+
+export { createRefusalRecorder, shorten } from './refusals.ts'
+export type { RecordRefusal } from './refusals.ts'
--- a/src/core/peers/peers.ts
+++ b/src/core/peers/peers.ts
@@ -5,6 +5,7 @@
 import type { Random } from '../random/index.ts'
 import { createSealer } from '../auth/index.ts'
 import type { Sealer } from '../auth/index.ts'
+import { createRefusalRecorder } from '../log/index.ts'
 import type { Log } from '../log/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import {
@@ -131,7 +132,8 @@
     else response.writeHead(404).end()
   })
   const address = await listen(server, options.address)
-  const datagrams = await createDatagrams(address, sealer, clock, traffic.record)
+  const recordRefusal = createRefusalRecorder(environment)
+  const datagrams = await createDatagrams(address, sealer, clock, traffic.record, recordRefusal)
   const freshness = createFreshness()
   const memberListeners: Array<(member: Member) => void> = []
   const configurationListeners: Array<(configuration: Configuration) => void> = []
--- a/src/core/rpc/datagrams.ts
+++ b/src/core/rpc/datagrams.ts
@@ -1,15 +1,22 @@
 import { randomInt } from 'node:crypto'
 import { createSocket } from 'node:dgram'
-import { createJSONRPCErrorResponse, createJSONRPCNotification, createJSONRPCRequest, createJSONRPCSuccessResponse, isJSONRPCRequest, isJSONRPCResponse } from 'json-rpc-2.0'
+import { createJSONRPCErrorResponse, createJSONRPCNotification, createJSONRPCRequest, createJSONRPCSuccessResponse, isJSONRPCID, isJSONRPCRequest, isJSONRPCResponse } from 'json-rpc-2.0'
 import { Packr } from 'msgpackr/pack'
 import type { JSONRPCID, JSONRPCRequest, JSONRPCResponse } from 'json-rpc-2.0'
 import type { Clock } from '../clock/index.ts'
 import type { Sealer } from '../auth/index.ts'
+import type { RecordRefusal } from '../log/index.ts'
 import type { RecordSent, RpcResult } from './client.ts'
 
 const methodNotFound = -32601
 const internalError = -32603
 
+/** Counter of packets and messages that are dropped. */
+const refusedCounter = 'datagrams_refused_total'
+
+/** Name under which answers to unknown methods are counted. */
+const unknownMethod = 'unknown'
+
 /** Bound of the id of a process's first request. An answer to an earlier process on the same port matches no request of this one. */
 const firstIdBound = 2 ** 31
 
@@ -67,6 +74,17 @@
   }
 }
 
+/** Returns the result of a response, whose error may have any form. */
+function resultOf ({ error, result }: JSONRPCResponse): RpcResult<unknown> {
+  if (error === undefined) return { ok: true, value: result }
+  return { ok: false, reason: typeof error?.message === 'string' ? error.message : 'an error without a message' }
+}
+
+/** Returns true for an object with an id that an answer can repeat. Other messages are dropped, because none of them can be answered. */
+function isMessage (value: unknown): value is object {
+  return typeof value === 'object' && value !== null && (!('id' in value) || value.id === undefined || isJSONRPCID(value.id))
+}
+
 /** Runs a handler. An exception, such as on a message of another version, becomes an error response. */
 function runHandler (handler: Handler, { id = null, params }: JSONRPCRequest, from: string): JSONRPCResponse {
   try {
@@ -76,8 +94,10 @@
   }
 }
 
-/** Binds a UDP socket to `address`. Packets without a valid cluster signature are dropped. */
-export async function createDatagrams (address: string, sealer: Sealer, clock: Clock, recordSent: RecordSent): Promise<Datagrams> {
+/** Binds a UDP socket to `address`. Packets without a valid cluster signature and messages of another form are dropped. */
+export async function createDatagrams (
+  address: string, sealer: Sealer, clock: Clock, recordSent: RecordSent, recordRefusal: RecordRefusal = () => {}
+): Promise<Datagrams> {
   const socket = createSocket({ type: 'udp4', recvBufferSize: 1024 * 1024 })
   const { host, port } = splitAddress(address)
   const handlers = new Map<string, Handler>()
@@ -94,14 +114,12 @@
     socket.send(packet, to.port, to.host, () => {})
   }
   const receive = (message: unknown, from: string) => {
-    if (isJSONRPCResponse(message)) {
-      const result = message.error === undefined ? { ok: true as const, value: message.result } : { ok: false as const, reason: message.error.message }
-      return pending.get(message.id)?.settle(result)
-    }
-    if (!isJSONRPCRequest(message)) return
+    if (!isMessage(message)) return recordRefusal(refusedCounter, `a message from ${from} is no object, or its id is no text, number or null`)
+    if (isJSONRPCResponse(message)) return pending.get(message.id)?.settle(resultOf(message))
+    if (!isJSONRPCRequest(message)) return recordRefusal(refusedCounter, `a message from ${from} is no JSON-RPC 2.0 message`)
     const handler = handlers.get(message.method)
     if (handler === undefined) {
-      if (message.id !== undefined) send(from, message.method, createJSONRPCErrorResponse(message.id, methodNotFound, 'method not found'))
+      if (message.id !== undefined) send(from, unknownMethod, createJSONRPCErrorResponse(message.id, methodNotFound, 'method not found'))
       return
     }
     const answer = runHandler(handler, message, from)
@@ -114,7 +132,9 @@
   socket.on('error', () => {})
   socket.on('message', (packet, info) => {
     const message = unpackMessage(packet, sealer, clock)
-    if (message !== undefined) receive(message, `${info.address}:${info.port}`)
+    const from = `${info.address}:${info.port}`
+    if (message === undefined) recordRefusal(refusedCounter, `a packet from ${from} is not signed, seen before or no MessagePack`)
+    else receive(message, from)
   })
   return {
     notify (peer, method, params) {
--- a/test/rpc/odd-datagrams.test.ts
+++ b/test/rpc/odd-datagrams.test.ts
@@ -12,19 +12,35 @@
 const codec = new Packr({ useRecords: false })
 const timeouts = { retryMs: 1000, timeoutMs: 1000 }
 
+function sealed (body: Buffer): Buffer {
+  const signature = sealer.seal(body, systemClock.date())
+  return Buffer.concat([Buffer.of(signature.length), Buffer.from(signature, 'latin1'), body])
+}
+
 /** Returns a packet whose signature has the right form and length, with characters that are not ASCII. */
 function signedInLatin1 (): Buffer {
   const signature = Buffer.from(`${Date.now()}.nonce.${'\u00e9'.repeat(22)}`, 'latin1')
   return Buffer.concat([Buffer.of(signature.length), signature, codec.pack({})])
 }
 
-async function withDatagrams (use: (datagrams: Datagrams, send: (packet: Buffer) => Promise<void>) => Promise<void>): Promise<void> {
+/** Returns an array nested `depth` deep around nil, as MessagePack. */
+function nested (depth: number): Buffer {
+  return Buffer.concat([Buffer.alloc(depth, 0x91), Buffer.of(0xc0)])
+}
+
+/** Returns a request whose id is nested `depth` deep. */
+function requestWithNestedId (depth: number): Buffer {
+  return Buffer.concat([Buffer.of(0x83), codec.pack('jsonrpc'), codec.pack('2.0'), codec.pack('method'), codec.pack('nowhere'), codec.pack('id'), nested(depth)])
+}
+
+async function withDatagrams (use: (datagrams: Datagrams, send: (packet: Buffer) => Promise<void>) => Promise<void>): Promise<string[]> {
+  const refused: string[] = []
   const probe = createSocket('udp4')
   probe.bind(0, '127.0.0.1')
   await once(probe, 'listening')
   const { port } = probe.address()
   await new Promise<void>((resolve) => probe.close(resolve))
-  const datagrams = await createDatagrams(`127.0.0.1:${port}`, sealer, systemClock, () => {})
+  const datagrams = await createDatagrams(`127.0.0.1:${port}`, sealer, systemClock, () => {}, (_, reason) => void refused.push(reason))
   const socket = createSocket('udp4')
   datagrams.method('echo', (value) => value)
   try {
@@ -34,6 +50,29 @@
     socket.close()
     datagrams.close()
   }
+  return refused
 }
 
-test('a signature that is not ASCII ends no process', () => withDatagrams((_, send) => send(signedInLatin1())))
+test('a signature that is not ASCII ends no process', async () => {
+  assert.match(String(await withDatagrams((_, send) => send(signedInLatin1()))), /not signed/)
+})
+
+const messages: Record<string, [message: Buffer, refusal: RegExp]> = {
+  'no object': [codec.pack(null), /no object/],
+  'an answer with an error that is null': [codec.pack({ jsonrpc: '2.0', id: 1, error: null }), /^$/],
+  'an answer with an error that is a number': [codec.pack({ jsonrpc: '2.0', id: 1, error: 1e308 }), /^$/],
+  'a method that is no text': [codec.pack({ jsonrpc: '2.0', id: 1, method: { name: 'x' } }), /^$/],
+  'an array in place of the object': [codec.pack([1e308]), /no JSON-RPC/],
+  'bytes that are no MessagePack': [Buffer.of(0xc1, 0xdd, 0xff, 0xff, 0xff, 0xff), /no MessagePack/],
+  'text that is no UTF-8': [Buffer.of(0xa2, 0xff, 0xfe), /no object/],
+  'an id over 2^53': [codec.pack({ jsonrpc: '2.0', id: 2n ** 64n - 1n, method: 'nowhere' }), /its id/],
+  'an id nested 1000 deep': [requestWithNestedId(1000), /its id/],
+  'an id nested 60000 deep': [requestWithNestedId(60_000), /no MessagePack/],
+  'an array nested 1000 deep': [nested(1000), /no JSON-RPC/],
+  'an array nested 60000 deep': [nested(60_000), /no MessagePack/]
+}
+for (const [name, [message, refusal]] of Object.entries(messages)) {
+  test(`a signed message with ${name} ends no process`, async () => {
+    assert.match(String(await withDatagrams((_, send) => send(sealed(message)))), refusal)
+  })
+}
