An address that no socket can use no longer ends the process

Callers saw (in the test) a process end when a member's address had port 0, a port over 65535 or none. Such a record is gossiped, so every node that probes the member, or calls its target, would have ended in turn, and again after each start.

Cause: sockets and HTTP requests throw on a port out of range. Datagrams are sent from a timer and connections between nodes are dialed without anyone who waits, so both throws ended the process.

Change: one parser of addresses (IPv4 and port, src/core/address), which settings use too.

Why it works: nothing reaches a socket of a datagram or of a connection between nodes that was not parsed into an IPv4 address and a port in range.

--- a/src/core/channel/handshake.ts
+++ b/src/core/channel/handshake.ts
@@ -1,9 +1,10 @@
 import { request as httpRequest } from 'node:http'
 import type { IncomingHttpHeaders, IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
+import { parseAddress } from '../address/index.ts'
 import type { Sealer } from '../auth/index.ts'
 import type { Clock } from '../clock/index.ts'
-import { signatureHeader, splitAddress } from '../rpc/index.ts'
+import { signatureHeader } from '../rpc/index.ts'
 import { channelPath, connectTimeoutMs, freshHeader, protocolName, receivedHeader, sessionHeader } from './constants.ts'
 
 const unknownSessionStatus = 404
@@ -51,11 +52,12 @@
   return sealer.open(String(headers[signatureHeader]), signedReply(session, received), clock.date()) ? Number(received) : undefined
 }
 
-/** Opens a connection for a session. Both sides prove that they know the cluster secret. */
+/** Opens a connection for a session. Both sides prove that they know the cluster secret. An address that is no IP:PORT counts as refused. */
 export function dialSession (address: string, handshake: Handshake, sealer: Sealer, clock: Clock): Promise<Dialed> {
+  const to = parseAddress(address)
+  if (to === undefined) return Promise.resolve({ type: 'refused' })
   return new Promise((resolve) => {
-    const { host, port } = splitAddress(address)
-    const request = httpRequest({ host, port, path: channelPath, agent: false, headers: headersOf(handshake, sealer, clock) })
+    const request = httpRequest({ ...to, path: channelPath, agent: false, headers: headersOf(handshake, sealer, clock) })
     const timeout = setTimeout(() => request.destroy(new Error('no connection in time')), connectTimeoutMs)
     const finish = (dialed: Dialed) => {
       clearTimeout(timeout)
--- a/src/core/rpc/datagrams.ts
+++ b/src/core/rpc/datagrams.ts
@@ -3,6 +3,7 @@
 import { createJSONRPCErrorResponse, createJSONRPCNotification, createJSONRPCRequest, createJSONRPCSuccessResponse, isJSONRPCID, isJSONRPCRequest, isJSONRPCResponse } from 'json-rpc-2.0'
 import { Packr } from 'msgpackr/pack'
 import type { JSONRPCID, JSONRPCRequest, JSONRPCResponse } from 'json-rpc-2.0'
+import { parseAddress } from '../address/index.ts'
 import type { Clock } from '../clock/index.ts'
 import type { Sealer } from '../auth/index.ts'
 import type { RecordRefusal } from '../log/index.ts'
@@ -30,7 +31,7 @@
 
 /** Signed JSON-RPC 2.0 messages over UDP, encoded as MessagePack. */
 export interface Datagrams {
-  /** Sends a notification. */
+  /** Sends a notification. One to an address that is no IP:PORT is dropped and counted. */
   notify: (address: string, method: string, params: unknown) => void
   /** Sends a request and retransmits it until a response arrives or the request times out. Handlers must be idempotent. */
   request: <Value>(address: string, method: string, params: unknown, timeouts: RequestTimeouts) => Promise<RpcResult<Value>>
@@ -107,8 +108,9 @@
   let open = true
   const send = (peer: string, kind: string, message: unknown) => {
     if (!open) return
+    const to = parseAddress(peer)
+    if (to === undefined) return recordRefusal('datagrams_unsendable_total', `no message can be sent to address ${peer}`)
     const packet = packMessage(message, sealer, clock)
-    const to = splitAddress(peer)
     bytesSent += packet.length
     recordSent(peer, kind, packet.length)
     socket.send(packet, to.port, to.host, () => {})
--- a/src/core/settings/schema.ts
+++ b/src/core/settings/schema.ts
@@ -1,4 +1,5 @@
 import * as v from 'valibot'
+import { isListenAddress } from '../address/index.ts'
 
 /** A setting: its flag, its environment variable and the schema that parses its text. */
 export interface Setting<Value> {
@@ -17,19 +18,11 @@
   return definition
 }
 
-const maxPort = 65_535
 const minSecretLength = 16
 
 const nameSchema = v.pipe(v.string(), v.regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'lower-case letters, digits and hyphens, at most 63'))
 
-function isAddress (text: string): boolean {
-  const match = /^(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})$/.exec(text)
-  if (match === null) return false
-  const [a, b, c, d, port] = match.slice(1).map(Number)
-  return [a, b, c, d].every((part) => part <= 255) && port <= maxPort
-}
-
-const addressSchema = v.pipe(v.string(), v.check(isAddress, 'IPv4 address and port, such as 127.0.0.1:7000'))
+const addressSchema = v.pipe(v.string(), v.check(isListenAddress, 'IPv4 address and port, such as 127.0.0.1:7000'))
 
 const addressListSchema = v.pipe(
   v.string(),
@@ -46,7 +39,7 @@
 
 function parseMember (text: string): { id: string, address: string, voter: boolean } | undefined {
   const [id, memberAddress, ...rest] = text.trim().split('=')
-  if (rest.length > 0 || memberAddress === undefined || !isAddress(memberAddress) || !v.is(nameSchema, id)) return undefined
+  if (rest.length > 0 || memberAddress === undefined || !isListenAddress(memberAddress) || !v.is(nameSchema, id)) return undefined
   return { id, address: memberAddress, voter: true }
 }
 
--- a/test/rpc/odd-datagrams.test.ts
+++ b/test/rpc/odd-datagrams.test.ts
@@ -76,3 +76,13 @@
     assert.match(String(await withDatagrams((_, send) => send(sealed(message)))), refusal)
   })
 }
+
+for (const address of ['127.0.0.1:0', '127.0.0.1:65536', '127.0.0.1:99999999', '127.0.0.1:-1', '127.0.0.1', '127.0.0.1:1e3', '[::1]:7000', '', '1.2.3.4:5:6', '999.1.1.1:80']) {
+  test(`a message to "${address}" ends no process`, async () => {
+    const refused = await withDatagrams(async (datagrams) => {
+      datagrams.notify(address, 'echo', [])
+      assert.equal((await datagrams.request(address, 'echo', [], { retryMs: 20, timeoutMs: 50 })).ok, false)
+    })
+    assert.match(refused[0], /no message can be sent/)
+  })
+}
