One odd member record no longer keeps the others from being taken

Callers saw (in the test) a process that learnt of no server: one record that it could not read, in gossip or in a sync, hid all others of the message, and at a start with such a record anywhere, the whole list. An answer to a sync of another form ended the process. Slots of 0, below 0 or 1e308 were taken and drew all or no calls; a record of a process with an incarnation over 2^53 could never be refuted by it.

Cause: a list was decoded whole or not at all, numbers had no bounds, addresses were any text, and the answer to a sync was taken without a look at its form in a promise that nobody awaits.

Evidence: on the code before, "an odd member in gossip keeps no other from being taken and is not passed on" and "an odd record leaves the known one of the same member in use" failed, and the tests of answers to a sync with TypeError: Cannot destructure property 'domain' of 'answer.value' as it is null.

Change: each record and each version of a list is decoded by itself. One whose text, number, address or state is out of its range is left out, never stored and so never passed on, counted (member_records_refused_total, in place of gossip_unreadable_total) and logged. The record known before stays in use. A beacon is taken also from a packet whose sender cannot be read. After the largest incarnation a process counts as started later, so it can refute every record but one from the end of the year 2099. Messages of a sync are checked before they are used.

Measured: test/membership and test/peers pass; an array nested 1,000,000 deep in a record is refused like any other.

Why it works: what enters the list of members is checked field by field at the one place where records are decoded, so whatever reads it later finds only addresses, numbers and states that it can use, and a refusal concerns the one record.

--- a/src/core/membership/constants.ts
+++ b/src/core/membership/constants.ts
@@ -46,3 +46,15 @@
 /** Bounds of the exponential backoff between syncs with seeds at whose address no member is known, in milliseconds. */
 export const minSeedSyncMs = 300
 export const maxSeedSyncMs = 15_000
+
+/** Longest text in a record: id, boot id, domain, address and service, in characters. */
+export const maxTextLength = 256
+
+/** Latest time of a start in a record, in milliseconds since the epoch: the year 2100. */
+export const maxTimestampMs = 4_102_444_800_000
+
+/** Largest incarnation in a record. It is far from the largest whole number, so that a process can always add to it. */
+export const maxIncarnation = 2 ** 40
+
+/** Largest number of slots, and of connections, of a target. */
+export const maxCapacity = 1_000_000
--- a/src/core/membership/core.ts
+++ b/src/core/membership/core.ts
@@ -1,7 +1,7 @@
 import { pick, sample } from '../random/index.ts'
 import type { Random } from '../random/index.ts'
 import {
-  ackTimeoutMs, farCopies, farSyncs, indirectProbeCount, maxSeedSyncMs, maxUpdatesPerPacket, memberRetentionMs, minSeedSyncMs, minSyncIntervalMs,
+  ackTimeoutMs, farCopies, farSyncs, indirectProbeCount, maxIncarnation, maxSeedSyncMs, maxUpdatesPerPacket, memberRetentionMs, minSeedSyncMs, minSyncIntervalMs,
   mismatchesToSync, probeIntervalMs, probeTimeoutMs, pushDelayMs, pushFanout, pushIntervalMs, retransmitFactor, suspicionTimeoutMs
 } from './constants.ts'
 import { statuses } from './types.ts'
@@ -116,9 +116,14 @@
   return result
 }
 
+/** Returns the version that follows. After the largest incarnation, which only a faulty record brings, it counts as a later start. */
+function nextVersion ({ startedAt, incarnation }: Member): Pick<Member, 'startedAt' | 'incarnation'> {
+  return incarnation < maxIncarnation ? { startedAt, incarnation: incarnation + 1 } : { startedAt: startedAt + 1, incarnation: 0 }
+}
+
 /** Changes the own record and queues it: for the own domain, and at least once for each other one. */
 function changeSelf (state: State, change: Partial<Member>, now: number): void {
-  state.self = { ...state.self, ...change, incarnation: state.self.incarnation + 1 }
+  state.self = { ...state.self, ...change, ...nextVersion(state.self) }
   queueUpdate(state, state.self.id, 1, now)
 }
 
--- a/src/core/membership/index.ts
+++ b/src/core/membership/index.ts
@@ -1,5 +1,5 @@
-export { decodeMembers, decodePacket, encodeMember, encodePacket } from './codec.ts'
-export type { EncodedMember, EncodedPacket } from './codec.ts'
+export { decodeMembers, decodePacket, decodeVersions, encodeMember, encodePacket } from './codec.ts'
+export type { EncodedMember, EncodedPacket, RefuseRecord } from './codec.ts'
 export { allMembers, compareVersions, createMembership, liveMembers, membersById, step, supersedes, tickDueAt, versionsOf } from './core.ts'
 export * from './constants.ts'
 export type { Effect, Event, Member, Packet, State, Target, Version } from './types.ts'
--- a/src/core/peers/peers.ts
+++ b/src/core/peers/peers.ts
@@ -1,4 +1,5 @@
 import { createServer } from 'node:http'
+import * as v from 'valibot'
 import type { IncomingMessage, Server } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Clock } from '../clock/index.ts'
@@ -9,16 +10,18 @@
 import type { Log } from '../log/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import {
-  allMembers, compareVersions, createMembership, decodeMembers, decodePacket, encodeMember, encodePacket, liveMembers, membersById, step, tickDueAt, versionsOf
+  allMembers, compareVersions, createMembership, decodeMembers, decodePacket, decodeVersions, encodeMember, encodePacket, liveMembers, membersById, step, tickDueAt,
+  versionsOf
 } from '../membership/index.ts'
 import type { Effect, EncodedMember, EncodedPacket, Event, Member, Packet, State, Target, Version } from '../membership/index.ts'
 import { acceptBeacon, advanceRevision, beaconAge, createFreshness, decodeBeacon, encodeBeacon } from '../freshness/index.ts'
 import type { Beacon, EncodedBeacon, Freshness } from '../freshness/index.ts'
-import { applyDeltas, dropSupersededDeployments, emptyConfiguration, newerConfiguration } from '../config/index.ts'
+import { applyDeltas, check, dropSupersededDeployments, emptyConfiguration, newerConfiguration } from '../config/index.ts'
 import type { Configuration, Delta } from '../config/index.ts'
 import { createDatagrams, createRpcClient, createRpcServer, rpcPath } from '../rpc/index.ts'
 import type { Datagrams, RpcClient, RpcServer } from '../rpc/index.ts'
 import { closeServer, listen } from '../http/index.ts'
+import { mergeRequestSchema, syncReplySchema, syncRequestSchema } from './messages.ts'
 import { chooseRelays, chooseSource } from './spread.ts'
 import { createTraffic } from './traffic.ts'
 import type { Traffic } from './traffic.ts'
@@ -134,6 +137,7 @@
   const address = await listen(server, options.address)
   const recordRefusal = createRefusalRecorder(environment)
   const datagrams = await createDatagrams(address, sealer, clock, traffic.record, recordRefusal)
+  const refuseRecord = (reason: string) => recordRefusal('member_records_refused_total', reason)
   const freshness = createFreshness()
   const memberListeners: Array<(member: Member) => void> = []
   const configurationListeners: Array<(configuration: Configuration) => void> = []
@@ -194,17 +198,18 @@
   /** Sends the versions of all records, merges the newer ones of the other process and sends those that it wants. */
   const syncWith = async (peer: string) => {
     const request = { domain: options.domain, versions: versionsOf(state) } satisfies SyncRequest
-    const answer = await rpc.call<SyncReply>(peer, 'membership.sync', request, fetchTimeoutMs)
+    const answer = await rpc.call(peer, 'membership.sync', request, fetchTimeoutMs)
     if (!answer.ok || !isOpen) return
-    const { domain, newer, wanted } = answer.value
+    const checked = check(syncReplySchema, answer.value)
+    if (!checked.ok) return refuseRecord(`answer of ${peer} to a sync, ${checked.reason}`)
+    const { domain, newer, wanted } = checked.value
     mergeRecords(newer, domain)
     if (wanted.length === 0) return
     const members = membersById(state, wanted).map(encodeMember)
     await rpc.call(peer, 'membership.merge', { domain: options.domain, members } satisfies MergeRequest, fetchTimeoutMs)
   }
-  const mergeRecords = (records: unknown, domain: string) => {
-    const members = decodeMembers(records)
-    if (members !== undefined) handleEvent({ type: 'merge', members, domain })
+  const mergeRecords = (records: readonly unknown[], domain: string) => {
+    handleEvent({ type: 'merge', members: decodeMembers(records, refuseRecord), domain })
   }
   const members = () => {
     cachedMembers ??= liveMembers(state)
@@ -275,17 +280,18 @@
   }
 
   datagrams.method('gossip', ([encoded, beacon]: GossipMessage, from) => {
-    const packet = decodePacket(encoded)
-    if (packet === undefined) return void metrics.count('gossip_unreadable_total')
-    handleEvent({ type: 'packet', packet, address: from })
+    const packet = decodePacket(encoded, refuseRecord)
+    if (packet !== undefined) handleEvent({ type: 'packet', packet, address: from })
     receiveBeaconMessage(beacon, from)
   })
   datagrams.method('beacon', receiveBeaconMessage)
-  rpcServer.method('membership.sync', ({ versions }: SyncRequest): SyncReply => {
-    const { newer, wanted } = compareVersions(state, versions)
+  rpcServer.method('membership.sync', (request: unknown): SyncReply => {
+    const { versions } = v.parse(syncRequestSchema, request)
+    const { newer, wanted } = compareVersions(state, decodeVersions(versions, refuseRecord))
     return { domain: options.domain, newer: newer.map(encodeMember), wanted }
   })
-  rpcServer.method('membership.merge', ({ domain, members: records }: MergeRequest) => {
+  rpcServer.method('membership.merge', (request: unknown) => {
+    const { domain, members: records } = v.parse(mergeRequestSchema, request)
     mergeRecords(records, domain)
     return null
   })
