A configuration answered in another form no longer ends the process

Callers saw (in the test) a process end when another process answered its request for a newer configuration with null, or with deltas of another form: the fetch runs in a promise that nobody awaits, and after the throw no later fetch would have begun.

Cause: the answer was taken apart without a look at its form.

Change: the form of deltas and of a full configuration is checked first: revisions that are whole numbers, known collections. An answer of another form is counted (configurations_refused_total), logged, and the next process is asked. The content is not checked again; a leader has validated it.

Why it works: only an answer with the collections and revisions that replication reads is handed on, and a refused one returns as a failed call does, which already leads to the next attempt.

--- a/src/core/peers/messages.ts
+++ b/src/core/peers/messages.ts
@@ -10,3 +10,15 @@
 
 /** Records that the other side of a sync wanted. */
 export const mergeRequestSchema = v.object({ domain: v.string(), members: list })
+
+const items = v.record(v.string(), v.unknown())
+const revision = v.pipe(v.number(), v.safeInteger(), v.minValue(0))
+const collections = { templates: items, workspaces: items, keys: items, slots: items, bans: items, deployments: items }
+
+/** Reply to a request for a newer configuration, of which only the form is checked: a leader has validated the content. */
+export const fetchReplySchema = v.object({
+  deltas: v.optional(v.array(v.looseObject({
+    revision, differences: v.array(v.looseObject({ collection: v.picklist(['templates', 'workspaces', 'keys', 'slots', 'bans', 'deployments']), name: v.string() }))
+  }))),
+  full: v.optional(v.looseObject({ revision, ...collections }))
+})
--- a/src/core/peers/peers.ts
+++ b/src/core/peers/peers.ts
@@ -21,7 +21,7 @@
 import { createDatagrams, createRpcClient, createRpcServer, rpcPath } from '../rpc/index.ts'
 import type { Datagrams, RpcClient, RpcServer } from '../rpc/index.ts'
 import { closeServer, listen } from '../http/index.ts'
-import { mergeRequestSchema, syncReplySchema, syncRequestSchema } from './messages.ts'
+import { fetchReplySchema, mergeRequestSchema, syncReplySchema, syncRequestSchema } from './messages.ts'
 import { chooseRelays, chooseSource } from './spread.ts'
 import { createTraffic } from './traffic.ts'
 import type { Traffic } from './traffic.ts'
@@ -242,9 +242,11 @@
   }
   const fetchConfigurationFrom = async (peer: string) => {
     const since = configuration.revision
-    const answer = await rpc.call<FetchReply>(peer, 'config.fetch', { since }, fetchTimeoutMs)
+    const answer = await rpc.call(peer, 'config.fetch', { since }, fetchTimeoutMs)
     if (!answer.ok || !isOpen) return
-    const { full, deltas: newDeltas } = answer.value
+    const checked = check(fetchReplySchema, answer.value)
+    if (!checked.ok) return recordRefusal('configurations_refused_total', `configuration from ${peer}, ${checked.reason}`)
+    const { full, deltas: newDeltas } = checked.value as FetchReply
     if (full !== undefined) {
       deltas = []
       installConfiguration(newerConfiguration(configuration, full), [])
--- a/test/peers/odd-members.test.ts
+++ b/test/peers/odd-members.test.ts
@@ -97,6 +97,29 @@
   })
 }
 
+test('a configuration answered in another form ends no process and stops no later fetch', async () => {
+  let asked = 0
+  const server = createServer((request, response) => {
+    let text = ''
+    request.on('data', (chunk: Buffer) => { text += chunk.toString() })
+    request.on('end', () => {
+      const { id, method } = JSON.parse(text) as { id: number, method: string }
+      const odd = ['null', '{"deltas":[null]}', '{"full":{"revision":1e308}}', '{"full":{"revision":3}}', `{"full":${nestedText(10_000)}}`]
+      const full = '{"full":{"revision":3,"templates":{},"workspaces":{},"keys":{},"slots":{},"bans":{},"deployments":{}}}'
+      response.end(`{"jsonrpc":"2.0","id":${id},"result":${method === 'config.fetch' ? odd[asked++] ?? full : 'null'}}`)
+    })
+  })
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+  await withPeers([], async (peers) => {
+    await gossip(peers, encodePacket({ type: 'push', from: member('other', { address }), updates: [], digest: 0 }), [[1, 1, 3, Date.now(), 'other', address], 0])
+    for (let waited = 0; waited < 3000 && peers.configuration().revision < 3; waited += 50) await pause(50)
+    assert.equal(peers.configuration().revision, 3)
+  })
+  server.close()
+})
+
 test('a forged record with the largest incarnation is refuted', () => {
   const state = createMembership(member('own'), [], 0)
   const forged = member('own', { incarnation: maxIncarnation, status: 'dead' })
