A request that was written is never reported as not run

Callers could see "not run" for a request that had been written to the target, when its connection then failed with the error of an unreachable host or network; such a request could run at a second target.

Cause: five error codes counted as failures to connect, whenever they came. A connection that is in use fails with the same codes, when the path to its other side is lost.

Evidence: before the change, five tests of test/node/serve.test.ts ("connection that fails with ... after the request was sent") ended with "refused" where "failed" is wanted. The codes were given to the connection by the test; no real network brought them.

Change: only a request that was never passed to a connection counts as not sent. The list of codes is gone.

Why it works: the HTTP client reports the start of a request right before it writes it, and on an open connection only, so what failed before that, whatever its code, was not sent, and what failed after it may have run.

--- a/src/core/node/exchange.ts
+++ b/src/core/node/exchange.ts
@@ -34,8 +34,6 @@
   cancellation?: Cancellation
 }
 
-const connectErrorCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL'])
-
 function errorCode (error: Error): string {
   return (error as NodeJS.ErrnoException).code ?? error.name
 }
@@ -97,10 +95,7 @@
       if (settle()) receiver.end()
     },
     onResponseError (_controller, error) {
-      const code = errorCode(error)
-      const notConnected = !written || connectErrorCodes.has(code)
-      if (notConnected) written = false
-      reportError(notConnected ? 'connect' : 'broken', error.message === '' ? code : error.message)
+      reportError(written ? 'broken' : 'connect', error.message === '' ? errorCode(error) : error.message)
     }
   })
 }
--- a/test/node/serve.test.ts
+++ b/test/node/serve.test.ts
@@ -532,3 +532,13 @@
     assert.deepEqual([outcome.type, received.text], ['answered', 'a'])
   }, refusing)
 })
+
+for (const code of ['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT']) {
+  test(`connection that fails with ${code} after the request was sent leaves the outcome unknown`, async () => {
+    let fail = () => {}
+    await withTarget(() => fail(), async (serve, connections) => {
+      fail = () => connections[0].destroy(Object.assign(new Error(code), { code }))
+      assert.equal((await serve('a', unrepeatable)).outcome.type, 'failed')
+    }, refusing)
+  })
+}
