A target that closes while the receiver of its answer pauses no longer ends the node's process

Callers saw every request on a node break off at once: the process ended with an uncaught AssertionError. It takes one answer that ends with its connection (no length, or "Connection: close") and one receiver that pauses, which a caller or another node does that reads a body more slowly than the target sends it.

Cause: Node reports the end of a connection once all bytes are handed out, also while undici's parser is paused. undici then finishes the paused parser and fails its own assertion, from an event of the socket, so that no request catches it. Where the connection was kept, the end broke off an answer that was whole.

Change: the connector holds the end back until the reader has asked for more and found nothing; the connection stays half open until then, as Node would destroy it. A parser that goes on reports a piece of no bytes first; it is no longer passed on, because a receiver that pauses at it would pause for ever.

Why it works: the end now reaches the parser only when it waits for bytes, the one state in which undici may finish an answer; a pause costs no answer its end.

--- a/src/core/http/connect.ts
+++ b/src/core/http/connect.ts
@@ -33,6 +33,38 @@
   }
 }
 
+/**
+ * Holds the `end` event of a connection back while its reader pauses: its last `read` returned bytes, and it has not asked for more. Node reports the end once all
+ * bytes are handed out. undici would finish an answer whose receiver pauses, which fails an assertion outside of any request and ends the process.
+ */
+function holdEndWhilePaused (socket: Socket): void {
+  const emit = socket.emit.bind(socket) as (event: string, ...values: unknown[]) => boolean
+  const read = socket.read.bind(socket) as (size?: number) => Buffer | null
+  let isPaused = false
+  let isHeld = false
+  const emitEnd = (): boolean => {
+    const hasListeners = emit('end')
+    if (socket.writable) socket.end()
+    return hasListeners
+  }
+  socket.emit = (event: string, ...values: unknown[]): boolean => {
+    if (event !== 'end') return emit(event, ...values)
+    if (!isPaused) return emitEnd()
+    isHeld = true
+    return true
+  }
+  socket.read = (size?: number): Buffer | null => {
+    const chunk = read(size)
+    if (size === 0) return chunk // Node itself asks the system for bytes.
+    isPaused = chunk !== null
+    if (isHeld && !isPaused) {
+      isHeld = false
+      process.nextTick(() => socket.destroyed || emitEnd()) // The reader first handles what it has.
+    }
+    return chunk
+  }
+}
+
 /**
  * Breaks a connection whose response does not end its status line within `maxStatusLineBytes`. The parser bounds header lines, but skips
  * a status line of any length. A response begins with the first bytes after a write.
@@ -62,13 +94,15 @@
  * Creates a connector whose connections report a reset as a failure in every state. undici treats ECONNRESET
  * as the end of a response without a length, which would make a truncated response look complete. The
  * listener that renames the code is prepended, because undici's own listener compares the code. Status lines are bounded.
+ * A connection stays half open until its end has been reported; Node would destroy it while the report is held back.
  */
 export function createConnector (timeoutMs: number): buildConnector.connector {
-  const connect = buildConnector({ timeout: timeoutMs })
+  const connect = buildConnector({ timeout: timeoutMs, allowHalfOpen: true })
   return (options, callback) => connect(options, (...result) => {
     const [error, socket] = result
     if (error === null) {
       socket.prependListener('error', renameReset)
+      holdEndWhilePaused(socket)
       confirmEnd(socket)
       boundStatusLine(socket)
     }
--- a/src/core/node/exchange.ts
+++ b/src/core/node/exchange.ts
@@ -88,7 +88,7 @@
       abort('broken', rejected.message)
     },
     onResponseData (responseController, chunk) {
-      if (settled) return
+      if (settled || chunk.length === 0) return // A parser that goes on after a pause reports a piece of no bytes first.
       if (!receiver.data(chunk, () => responseController.resume())) responseController.pause()
     },
     onResponseEnd () {
