--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -32,6 +32,7 @@
 import { createRunningRequests } from './running.ts'
 import { createKeyCheck } from './key-check.ts'
 import { createCallServer } from './serve.ts'
+import { abortResponse } from './sinks.ts'
 import { createSpans } from './spans.ts'
 import { beginsDuring } from './stop.ts'
 import type { Stop, StoppingRequest } from './stop.ts'
@@ -133,7 +134,7 @@
       if (hasLeft(request, response)) return metrics.count('requests_abandoned_total')
       serve().catch((error: Error) => {
         logUnexpectedError(error)
-        response.destroy()
+        abortResponse(response)
       })
     })
   }
--- a/src/core/node/refusals.ts
+++ b/src/core/node/refusals.ts
@@ -7,6 +7,7 @@
 import type { Random } from '../random/index.ts'
 import type { Dialect } from './dialect.ts'
 import type { Arrival } from './filters.ts'
+import { abortResponse } from './sinks.ts'
 import type { AttemptOutcome, Call } from './types.ts'
 
 /** Shortest and longest time after which a refused caller is asked to retry, in milliseconds. */
@@ -69,7 +70,7 @@
     },
     async refuseUnlessAnswered (response, { context }, outcome) {
       if (outcome.type === 'answered') return
-      if (outcome.type === 'broken') return void response.destroy()
+      if (outcome.type === 'broken') return abortResponse(response)
       const { workspace, lineage, idempotent, resendable, fingerprint } = context
       if (outcome.type === 'failed') return writeRefusal(response, outcome.failure, 'unknown')
       const run = !idempotent && resendable ? await runStateOf(workspace, lineage) : 'not-run'
--- a/src/core/node/sinks.ts
+++ b/src/core/node/sinks.ts
@@ -3,6 +3,15 @@
 import type { Failure } from '../errors/index.ts'
 import type { AttemptOutcome, Report, Sink } from './types.ts'
 
+/**
+ * Aborts an answer in a way that its caller detects as incomplete. Callers of HTTP/1.0 know no chunks, so that the end of the connection may be
+ * the only end of their answer: it is reset.
+ */
+export function abortResponse (response: ServerResponse): void {
+  if (!response.useChunkedEncodingByDefault) response.socket?.resetAndDestroy()
+  response.destroy()
+}
+
 /** Creates a sink that writes an answer to the response of a caller. */
 export function createResponseSink (response: ServerResponse): Sink {
   let started = false
@@ -23,7 +32,7 @@
       response.on('close', endWait)
     },
     end: () => void response.end(),
-    abort: () => void response.destroy()
+    abort: () => abortResponse(response)
   }
 }
 
