An answer in a transfer coding other than chunked no longer counts as one with a detectable end

Callers saw a 200 with a short body, framed as whole, where targets must frame their answers: a target that answered with a transfer coding whose last one is not "chunked" (identity, gzip, a mistyped name) and closed its connection early.

Cause: any Transfer-Encoding counted as framing. The end of such an answer is the end of its connection, as for an answer without a length.

Change: only a Transfer-Encoding whose last coding is chunked shows the end of an answer. Where targets may send answers without a length nothing changes.

Why it works: the check now asks for what the parser ends an answer by, a length or a last chunk, and refuses every answer that it would end with its connection.

--- a/src/core/node/serve.ts
+++ b/src/core/node/serve.ts
@@ -60,10 +60,13 @@
   return fail('quarantined', { until: new Date(ban.until).toISOString() })
 }
 
+/** Matches a Transfer-Encoding whose last coding is chunked. An answer in any other one ends with its connection. */
+const lastCodingIsChunked = /(^|[\s,])chunked\s*$/i
+
 /** Returns true for an answer whose end can be distinguished from a broken connection. */
 function hasDetectableEnd (method: string, status: number, headers: IncomingHttpHeaders): boolean {
   if (method === 'HEAD' || status === 204 || status === 304) return true
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+  return headers['content-length'] !== undefined || lastCodingIsChunked.test(String(headers['transfer-encoding']))
 }
 
 /** Creates the part of a node that serves calls with its own target. */
--- a/test/node/cut-answers.test.ts
+++ b/test/node/cut-answers.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { defaultDialect } from '../../src/core/node/dialect.ts'
 import { createRawPath } from './raw-path.ts'
 import type { Ending, RawAnswer, RawPath, RawReply } from './raw-path.ts'
 
@@ -126,3 +127,30 @@
     }
   })
 }
+
+for (const coding of ['identity', 'gzip', 'chunked, gzip', 'xchunked']) {
+  test(`an answer in the transfer coding "${coding}", which only its connection ends, counts as one without a length`, async () => {
+    const path = await createRawPath(defaultDialect)
+    try {
+      path.answers = [{ text: `${head}Transfer-Encoding: ${coding}\r\n\r\n${body.slice(0, 9)}`, ending: 'end' }]
+      const reply = await path.exchange('GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n')
+      assert.equal(path.outcomes.at(-1)?.type, 'failed')
+      assert.doesNotMatch(reply.text, success)
+    } finally {
+      await path.close()
+    }
+  })
+}
+
+for (const coding of ['chunked', 'Chunked', 'gzip, chunked', 'gzip,chunked ']) {
+  test(`an answer in the transfer coding "${coding}" ends with its last chunk`, async () => {
+    const path = await createRawPath(defaultDialect)
+    try {
+      path.answers = [{ text: `${head}Transfer-Encoding: ${coding}\r\n\r\n${chunks}\r\n`, ending: 'open' }]
+      await path.exchange('GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n')
+      assert.equal(path.outcomes.at(-1)?.type, 'answered')
+    } finally {
+      await path.close()
+    }
+  })
+}
