The raw path of the tests of cut answers asks the same of a stop as a node

The tests' own path was written beside the change of the stop and lacked its two new functions, so that its calls ended with an exception. It now begins every request and counts nothing, as a node that does not stop; the checks are unchanged and the types pass again.

--- a/test/node/raw-path.ts
+++ b/test/node/raw-path.ts
@@ -129,6 +129,7 @@
   const server = createCallServer({
     dialect,
     findKeyFailure: () => undefined,
+    mayBegin: () => true,
     peers,
     target,
     claims: {} as unknown as ClaimClient,
@@ -165,7 +166,7 @@
     path.outcomes.push(outcome)
     await refusals.refuseUnlessAnswered(response, call, outcome)
   }
-  const pipeline = createPipeline({ serve: (request, response) => void serve(request, response), isStopping: () => false })
+  const pipeline = createPipeline({ serve: (request, response) => void serve(request, response), isStopping: () => false, count () {} })
   const callerServer = createHttpServer(pipeline.accept).on('clientError', pipeline.reject)
   const port = await listenAnywhere(callerServer)
   const path: RawPath = {
