A request whose body is cut, malformed or too slow is refused and ends; cut requests are tested

Callers saw no answer and a connection that stayed open for ever when they ended their side in the middle of a body, sent a malformed chunk, or took longer than the limit for a body. The node kept the request as active, so that its stop waited until its timeout.

Cause: Node reports such a body as an error of the connection and leaves the request as it is. The pipeline held its 400 or 408 back until the requests before were done, and counted the unfinished request among them, which waited for its body.

Change: the pipeline ends a request that the parser cannot finish, unless its answer is on the way. The refusal that follows on the connection is its own.

Why it works: no bytes can follow on such a connection, so the last request that was read can only be the one cut, and nothing is left that it could wait for.

--- a/src/core/node/pipeline.ts
+++ b/src/core/node/pipeline.ts
@@ -107,6 +107,14 @@
     }
     if (line.waiting.length < maxWaiting && socket.isPaused()) socket.resume()
   }
+  /**
+   * Ends the request that the parser cannot read to its end. It has not been run, and the answer to the rest of the connection is also its own.
+   * Node ends it with its connection only, which would wait for it.
+   */
+  const dropUnfinished = (line: Line) => {
+    if (line.waiting.at(-1)?.request.complete === false) line.waiting.pop()
+    for (const response of line.inProgress) if (!response.req.complete && !response.headersSent) response.emit('close')
+  }
   const sendLastBytes = (line: Line, socket: Duplex) => {
     if (socket.writable) socket.end(line.lastBytes)
     else socket.destroy()
@@ -124,6 +132,7 @@
       const code = error.code ?? ''
       if (resetCodes.has(code) || !socket.writable) return void socket.destroy()
       const line = lineOf(socket)
+      dropUnfinished(line)
       line.lastBytes = unreadableAnswer(code)
       if (line.inProgress.size === 0 && line.waiting.length === 0) sendLastBytes(line, socket)
     }
--- a/test/node/pipeline.test.ts
+++ b/test/node/pipeline.test.ts
@@ -68,6 +68,11 @@
   assert.ok(isMet(), 'in time')
 }
 
+/** Waits for a promise for a time at most. */
+async function within (promise: Promise<unknown>, ms: number): Promise<void> {
+  assert.equal(await Promise.race([promise.then(() => 'done'), pause(ms)]), 'done', 'in time')
+}
+
 const answer: Serve = (request, response) => void response.end(`<${request.url ?? ''}>`)
 
 test('answers follow the order of the requests when later ones are done first', () => withServer((request, response) => {
@@ -196,3 +201,41 @@
     await until(() => received().length > 40 * size, 10_000)
   })
 })
+
+/** Answers once the body has been read. */
+const answerAfterBody: Serve = (request, response) => {
+  request.resume()
+  request.on('end', () => answer(request, response))
+}
+
+const lengthRequest = 'POST /cut HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nhalf'
+
+for (const [name, request, ends] of [
+  ['body that its client cuts short', lengthRequest, true],
+  ['body in chunks that its client cuts short', 'POST /cut HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n', true],
+  ['body with a malformed chunk', 'POST /cut HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\nz\r\n', false]
+] as const) {
+  test(`a ${name} is refused once, after the answers before it, and its request ends`, () => withServer((incoming, response) => {
+    if (incoming.url === '/slow') setTimeout(() => answer(incoming, response), 60)
+    else answerAfterBody(incoming, response)
+  }, async ({ socket, received, cancelled, ended }) => {
+    socket.write(get('/slow') + request)
+    if (ends) socket.end()
+    await within(ended, 3000)
+    assert.deepEqual(bodies(received()), ['/slow'])
+    assert.deepEqual([...received().matchAll(/HTTP\/1.1 (\d+)/g)].map(([, status]) => status), ['200', '400'])
+    assert.deepEqual(cancelled, ['/cut'])
+  }))
+}
+
+test('a cut body behind requests that fill the connection is refused once', () => withServer((request, response) => {
+  if (request.url === '/cut') answerAfterBody(request, response)
+  else setTimeout(() => answer(request, response), 30)
+}, async ({ socket, received, served, ended }) => {
+  const paths = Array.from({ length: maxInProgress + 2 }, (_, index) => `/${index}`)
+  socket.end(paths.map(get).join('') + lengthRequest)
+  await within(ended, 3000)
+  assert.deepEqual(bodies(received()), paths)
+  assert.deepEqual(received().match(/HTTP\/1.1 400/g), ['HTTP/1.1 400'])
+  assert.equal(served.includes('/cut'), false)
+}))
--- a/test/node/raw-path.ts
+++ b/test/node/raw-path.ts
@@ -33,7 +33,7 @@
 
 const timeoutMs = 3000
 
-/** How the target closes a connection after the bytes of an answer. */
+/** How a side closes a connection after its bytes. */
 export type Ending = 'open' | 'end' | 'reset'
 
 /** Bytes that the target sends for a request, and what it does with the connection then. `ID` stands for the id of the request. */
@@ -57,8 +57,8 @@
   answers: RawAnswer[]
   /** Whether the node of the caller forwards the calls to that of the target. */
   isForwarded: boolean
-  /** Sends bytes on a new connection and reads it until it is closed. Ends it after the bytes, if `endsAfter`. */
-  exchange: (bytes: string, endsAfter?: boolean) => Promise<RawReply>
+  /** Sends bytes on a new connection, closes it as `ending` says, and reads it until it is closed. */
+  exchange: (bytes: string, ending?: Ending) => Promise<RawReply>
   /** Outcomes of the calls so far. */
   outcomes: AttemptOutcome[]
   /** Requests that the target has read. */
@@ -176,12 +176,13 @@
     received: [],
     readAfterMs: 0,
     connections: () => connections,
-    exchange: (bytes, endsAfter = false) => new Promise((resolve) => {
+    exchange: (bytes, ending = 'open') => new Promise((resolve) => {
       let text = ''
       let isReset = false
       const socket = connect({ port, host: '127.0.0.1', allowHalfOpen: true }, () => {
-        socket.write(bytes, 'latin1')
-        if (endsAfter) socket.end()
+        if (bytes !== '') socket.write(bytes, 'latin1')
+        if (ending === 'end') socket.end()
+        else if (ending === 'reset') socket.resetAndDestroy()
       })
       if (path.readAfterMs > 0) {
         socket.pause()
@@ -190,7 +191,7 @@
       socket.on('data', (chunk) => {
         text += chunk.toString('latin1')
       })
-      socket.on('end', () => socket.write('\r\n', (error) => socket.destroy(error ?? undefined))) // A reset that arrives with the last bytes is reported as a plain end; only a write fails.
+      socket.on('end', () => socket.writable ? socket.write('\r\n', (error) => socket.destroy(error ?? undefined)) : socket.destroy()) // A reset that arrives with the last bytes is reported as a plain end; only a write fails.
       socket.on('error', () => {
         isReset = true
       })
