Large responses without a length are tested over two real machines

Evidence for the fault of paused answers, with real processes: ten responses of 300 kB without a length, that a server ends at once, from one machine to the caller on another. No caller was slow: the stream between two nodes pauses by itself.

Change: test/platform/path.test.ts only.

--- a/test/platform/path.test.ts
+++ b/test/platform/path.test.ts
@@ -195,3 +195,20 @@
   assert.deepEqual([...sendings.values()], [1, 1, 1])
   assert.equal(sockets.size, 1, 'the connection that carried a refusal is kept')
 }))
+
+test('large responses without a length end no process on their way', () => withMachines(async (machines) => {
+  for (const number of [1, 2, 3]) machines.startCore(number, true)
+  const callerServer = await machines.startSidecar(1, 'other')
+  const calledServer = await machines.startSidecar(2, 'shop')
+  await eventually(async () => await callerServer.sendHeartbeat('ready') === 200 && await calledServer.sendHeartbeat('ready') === 200)
+  await replaceUntilAccepted(machines, 1, '0', configuration(3, 'shop'))
+  await eventually(async () => (await machines.send(1, '/p/x')).status === 200)
+  const text = 'x'.repeat(300_000)
+  calledServer.respondWith((request) => {
+    request.socket.end(`HTTP/1.1 200 OK\r\nx-dogwoodspring-request-id: ${String(request.headers['x-dogwoodspring-request-id'])}\r\n\r\n${text}`)
+  })
+  for (let count = 0; count < 10; count++) {
+    const reply = await machines.send(1, '/p/x')
+    assert.deepEqual([reply.status, reply.text.length], [200, text.length])
+  }
+}))
