Cut answers are tested on connections that are shown to be kept, and large ones with callers that read late

Change: the test of cut answers now fails if the answer before and the cut one use two connections. That showed that its answers to HEAD had not been on a kept connection, as the HTTP library keeps none after HEAD; the answer before is one to GET now, also there. Six tests more: answers of 300 kB whose caller reads 100 ms late, at one node and over two.

--- a/test/node/cut-answers.test.ts
+++ b/test/node/cut-answers.test.ts
@@ -67,16 +67,18 @@
 
 /** Sends a request that the target answers so. Returns what is wrong if the caller or the node takes the answer for a whole one. */
 async function findMistake (path: RawPath, { method = 'GET' }: Kind, answer: RawAnswer, { version, isForwarded, isKept }: Way): Promise<string | undefined> {
-  const request = `${method} / HTTP/${version}\r\nhost: a\r\nconnection: close\r\n\r\n`
+  const rest = ` / HTTP/${version}\r\nhost: a\r\nconnection: close\r\n\r\n`
   path.isForwarded = isForwarded
   if (isKept) {
-    path.answers = [{ text: method === 'HEAD' ? `${head}Content-Length: 17\r\n\r\n` : whole, ending: 'open' }]
-    const before = await path.exchange(request)
-    if (findWholeBody(before, method) === undefined) return `answer before: ${before.text}`
+    path.answers = [{ text: whole, ending: 'open' }]
+    const before = await path.exchange(`GET${rest}`)
+    if (findWholeBody(before, 'GET') !== body) return `answer before: ${before.text}`
   }
   path.answers = [answer]
   const { length } = path.outcomes
-  const reply = await path.exchange(request)
+  const opened = path.connections()
+  const reply = await path.exchange(method + rest)
+  if (isKept && path.connections() !== opened) return 'a connection of its own'
   const outcome = path.outcomes.at(length)?.type
   if (outcome !== 'failed' && outcome !== 'broken') return `outcome ${String(outcome)}`
   if (success.test(reply.text) && findWholeBody(reply, method) !== undefined) return `reply ${JSON.stringify(reply.text)}`
@@ -154,3 +156,24 @@
     }
   })
 }
+
+for (const isForwarded of [false, true]) {
+  for (const [name, lines, end] of [
+    ['without a length', '', ''],
+    ['with a length and the close of its connection', `${closing}Content-Length: 300000\r\n`, ''],
+    ['in chunks with the close of its connection', `${closing}Transfer-Encoding: chunked\r\n`, '0\r\n\r\n']
+  ]) {
+    test(`a large answer ${name} whose ${isForwarded ? 'other node and ' : ''}caller read late is whole`, async () => {
+      const path = await createRawPath()
+      try {
+        const text = 'x'.repeat(300_000)
+        Object.assign(path, { isForwarded, readAfterMs: 100, answers: [{ text: `${head}${lines}\r\n${end === '' ? text : `493e0\r\n${text}\r\n`}${end}`, ending: 'end' }] })
+        const reply = await path.exchange('GET / HTTP/1.0\r\nhost: a\r\n\r\n')
+        assert.equal(path.outcomes.at(-1)?.type, 'answered')
+        assert.equal(findWholeBody(reply, 'GET'), text)
+      } finally {
+        await path.close()
+      }
+    })
+  }
+}
