A beacon of another form no longer blocks all later ones

Callers saw (in the test) a process that followed no configuration and no leader again: the first beacon that it received had a term that is no number, or 1e308, and every later beacon compared as older.

Cause: beacons were taken as they came. Comparing a number with a text is always false, and a term of 1e308 is larger than every real one.

Evidence: "an odd beacon blocks no later one and keeps no member from being taken" failed: newest term undefined, 1 expected.

Change: a beacon and its age are checked field by field when they arrive: whole numbers up to 2^53 - 1, an address that can be used, an age that is not negative. Another is refused, counted (beacons_refused_total) and logged; the records of the same message are taken.

Why it works: the comparison sees only whole numbers, for which newer and older are always decided. A signed beacon with a large but proper term still counts as the newest; the signature is the only protection against that.

--- a/src/core/freshness/index.ts
+++ b/src/core/freshness/index.ts
@@ -1,3 +1,5 @@
+import * as v from 'valibot'
+import { isAddress } from '../address/index.ts'
 import type { Outcome } from '../errors/index.ts'
 import { fail, succeed } from '../errors/index.ts'
 
@@ -30,9 +32,20 @@
   return [term, sequence, revision, issuedAt, leader, address]
 }
 
-/** Decodes a beacon. */
-export function decodeBeacon ([term, sequence, revision, issuedAt, leader, address]: EncodedBeacon): Beacon {
-  return { term, sequence, revision, issuedAt, leader, address }
+const whole = v.pipe(v.number(), v.safeInteger(), v.minValue(0))
+
+/** Schema of a beacon as it is sent, with its age in ms. The first one of another form would count as newer than all that follow. */
+const agedBeaconSchema = v.tuple([
+  v.tuple([whole, whole, whole, whole, v.pipe(v.string(), v.maxLength(256)), v.pipe(v.string(), v.check(isAddress, 'an address is IP:PORT'))]),
+  v.pipe(v.number(), v.finite(), v.minValue(0))
+])
+
+/** Decodes a beacon with its age in ms, or returns the reason why it is refused. */
+export function decodeAgedBeacon (value: unknown): { ok: true, beacon: Beacon, ageMs: number } | { ok: false, reason: string } {
+  const { success, output, issues } = v.safeParse(agedBeaconSchema, value)
+  if (!success) return { ok: false, reason: `beacon, field ${v.getDotPath(issues[0]) ?? 'none'}: ${issues[0].message}` }
+  const [[term, sequence, revision, issuedAt, leader, address], ageMs] = output
+  return { ok: true, beacon: { term, sequence, revision, issuedAt, leader, address }, ageMs }
 }
 
 /** A process's knowledge of the control group's latest beacon and revision. */
--- a/src/core/peers/peers.ts
+++ b/src/core/peers/peers.ts
@@ -14,7 +14,7 @@
   versionsOf
 } from '../membership/index.ts'
 import type { Effect, EncodedMember, EncodedPacket, Event, Member, Packet, State, Target, Version } from '../membership/index.ts'
-import { acceptBeacon, advanceRevision, beaconAge, createFreshness, decodeBeacon, encodeBeacon } from '../freshness/index.ts'
+import { acceptBeacon, advanceRevision, beaconAge, createFreshness, decodeAgedBeacon, encodeBeacon } from '../freshness/index.ts'
 import type { Beacon, EncodedBeacon, Freshness } from '../freshness/index.ts'
 import { applyDeltas, check, dropSupersededDeployments, emptyConfiguration, newerConfiguration } from '../config/index.ts'
 import type { Configuration, Delta } from '../config/index.ts'
@@ -224,10 +224,11 @@
     const { newest } = freshness
     return newest === undefined ? null : [encodeBeacon(newest), Math.round(beaconAge(freshness, clock.now()))]
   }
-  const receiveBeaconMessage = (message: BeaconMessage, from: string) => {
+  const receiveBeaconMessage = (message: unknown, from: string) => {
     if (message === null) return
-    const [encoded, ageMs] = message
-    receiveBeacon(decodeBeacon(encoded), ageMs, from)
+    const decoded = decodeAgedBeacon(message)
+    if (decoded.ok) receiveBeacon(decoded.beacon, decoded.ageMs, from)
+    else recordRefusal('beacons_refused_total', decoded.reason)
   }
   const relayBeacon = (beacon: Beacon) => {
     const message = beaconMessage()
--- a/test/peers/odd-members.test.ts
+++ b/test/peers/odd-members.test.ts
@@ -69,6 +69,17 @@
   assert.equal(peers.members().find(({ id }) => id === 'a')?.target?.slots, 5)
 }))
 
+test('an odd beacon blocks no later one and keeps no member from being taken', () => withPeers([], async (peers, metrics) => {
+  const issuedAt = Date.now()
+  const odd = [null, 7, [], [[], 0], [['x', 1, 0, issuedAt, 'c', '127.0.0.1:9'], 0], [[1e308, 1, 0, issuedAt, 'c', '127.0.0.1:9'], 0], [[9, 9, 0, issuedAt, 'c', '127.0.0.1:0'], 0],
+    [[9, 9, 0, 1e308, 'c', '127.0.0.1:9'], 0], [[9, 9, 0, issuedAt, 'c', '127.0.0.1:9'], -1e308]]
+  for (const [index, beacon] of odd.entries()) await gossip(peers, push(member(`m-${index}`)), beacon)
+  await gossip(peers, push(), [[1, 1, 0, issuedAt, 'c', '127.0.0.1:9'], 0])
+  assert.equal(peers.freshness.newest?.term, 1)
+  assert.equal(ids(peers).length, odd.length + 2)
+  assert.equal(metrics.value('beacons_refused_total'), odd.length - 1)
+}))
+
 const nestedText = (depth: number) => '['.repeat(depth) + ']'.repeat(depth)
 const good = JSON.stringify(encodeMember(member('good')))
 const oddAnswers: Record<string, string> = {
