An odd announcement no longer closes the connections to the known target

Callers saw (in the test) every request to a sound server end without its answer after one announcement with port 99999: the announcement was answered 500, and the next good one changed nothing, until the node was started again. Addresses such as ....:80 or port 0 were accepted, and a body of any size was kept in memory.

Cause: the pool of the known target was closed before the pool of the new address was created, which throws on an address that is no URL; the closed pool stayed in use because the good announcement named the same address as before. The address was checked by its characters only.

Change: the new pool is created first, and nothing of the target changes before. An announced address is an IPv4 address and a port from 1 to 65535. A body is read up to 64 KiB, as UTF-8; reasons of refusals repeat at most 200 characters of a document. Refusals are counted (announcements_refused_total) and logged.

Why it works: every change of the target follows the only step that can throw, and what does not describe a usable target is refused before that step.

--- a/src/core/config/schema.ts
+++ b/src/core/config/schema.ts
@@ -1,5 +1,6 @@
 import * as v from 'valibot'
 import { deploymentSchema } from '../deployment/index.ts'
+import { shorten } from '../log/index.ts'
 
 /** Returns false for names of inherited object properties, such as `constructor`, which cannot be keys of a record. */
 const isUsableAsRecordKey = (text: string) => !(text in {})
@@ -116,11 +117,11 @@
 export type Scope = v.InferOutput<typeof scopeSchema>
 export type Change = v.InferOutput<typeof changeSchema>
 
-/** Validates a document against a schema. The reason starts with the path of the first error. */
+/** Validates a document against a schema. The reason starts with the path of the first error and is short, although both may repeat keys of the document. */
 export function check<Schema extends v.GenericSchema> (schema: Schema, document: unknown):
   { ok: true, value: v.InferOutput<Schema> } | { ok: false, reason: string } {
   const result = v.safeParse(schema, document)
   if (result.success) return { ok: true, value: result.output }
   const [issue] = result.issues
-  return { ok: false, reason: `${v.getDotPath(issue) ?? 'document'}: ${issue.message}` }
+  return { ok: false, reason: shorten(`${v.getDotPath(issue) ?? 'document'}: ${issue.message}`) }
 }
--- a/src/core/node/local.ts
+++ b/src/core/node/local.ts
@@ -3,19 +3,25 @@
 import { toNodeHandler } from 'h3/node'
 import * as v from 'valibot'
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { isAddress } from '../address/index.ts'
 import { check } from '../config/index.ts'
 import { fail } from '../errors/index.ts'
 import { checkFresh } from '../freshness/index.ts'
+import { readDocument } from '../http/index.ts'
+import { createRefusalRecorder } from '../log/index.ts'
 import type { Environment, Peers } from '../peers/index.ts'
 import type { OwnTarget } from './target.ts'
 
+/** Largest announcement, in bytes. */
+const maxAnnouncementBytes = 64 * 1024
+
 const countSchema = v.pipe(v.number(), v.integer(), v.minValue(1), v.maxValue(100_000))
 
 /** Schema of the announcement with which a target registers at its node. */
 export const announcementSchema = v.strictObject({
   service: v.pipe(v.string(), v.regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'a service name has lower-case letters, digits and hyphens')),
   /** Address at which the node connects to the target. Example: "127.0.0.1:8080". */
-  address: v.pipe(v.string(), v.regex(/^[0-9.]+:\d{1,5}$/, 'an address is IP:PORT')),
+  address: v.pipe(v.string(), v.check(isAddress, 'an address is IP:PORT')),
   /** Number of requests that the target serves concurrently. */
   slots: countSchema,
   /** Number of connections that the target accepts. Default: as many as slots. */
@@ -31,17 +37,17 @@
 }
 
 /** Creates the handler of the node's own paths on the loopback listener. */
-export function createLocalHandler (peers: Peers, target: OwnTarget, { clock, metrics }: Environment): (request: IncomingMessage, response: ServerResponse) => void {
+export function createLocalHandler (peers: Peers, target: OwnTarget, environment: Environment): (request: IncomingMessage, response: ServerResponse) => void {
+  const { clock, metrics } = environment
+  const recordRefusal = createRefusalRecorder(environment)
   const app = new H3()
   app.put('/.dogwoodspring/target', async (event) => {
-    let document: unknown
-    try {
-      document = JSON.parse(await event.req.text())
-    } catch {
-      return writeBadRequest(event, 'the body is not valid JSON')
+    const document = await readDocument(event.req, maxAnnouncementBytes)
+    const checked = document.ok ? check(announcementSchema, document.value) : document
+    if (!checked.ok) {
+      recordRefusal('announcements_refused_total', checked.reason)
+      return writeBadRequest(event, checked.reason)
     }
-    const checked = check(announcementSchema, document)
-    if (!checked.ok) return writeBadRequest(event, checked.reason)
     target.announce({ ...checked.value, connections: checked.value.connections ?? checked.value.slots })
     return { renewWithinMs: 10_000, state: target.current()?.state }
   })
--- a/src/core/node/target.ts
+++ b/src/core/node/target.ts
@@ -69,10 +69,11 @@
     const isSame = lastAnnouncement?.address === announcement.address && lastAnnouncement.connections === announcement.connections &&
       lastAnnouncement.incarnation?.instance === announcement.incarnation?.instance
     if (pool !== undefined && isSame) return
-    void pool?.close()
+    const replaced = pool
     pool = new Pool(`http://${announcement.address}`, {
       connections: announcement.connections, pipelining: 1, connect: createConnector(connectTimeoutMs), keepAliveTimeout: targetKeepAliveMs
     })
+    void replaced?.close()
   }
   const setDown = () => {
     if (target !== undefined && target.state !== 'down') publish({ ...target, state: 'down' })
@@ -90,8 +91,9 @@
       const isSameProcess = lastAnnouncement?.incarnation?.instance === announcement.incarnation?.instance
       const isKnown = lastAnnouncement !== undefined && isSameProcess
       const wasUp = target !== undefined && target.state !== 'down' && isSameProcess
-      renewedAt = clock.now()
+      // First, because it throws on an address that no pool can use; the known target then stays in use.
       replacePool(announcement)
+      renewedAt = clock.now()
       lastAnnouncement = announcement
       if (announcement.state === 'up') drainedAt = Infinity
       else if (isKnown) startDraining()
