A heartbeat with a start or sequence that is too large no longer blocks the true ones for good

Callers saw (in the test) a sound server without requests until its node was started again, after one heartbeat with a later start (born) or a larger sequence than the server's own. A server that starts again after its machine's time of day was set back has the same: its start is earlier than that of the process before it.

Cause: the largest start and sequence seen were final, although they are only what a message says. The time of day cannot decide which is true, as it may jump.

Evidence: "a start or a sequence that is too large does not block the true announcements for good" failed on the order before (never accepted in 30 s), "a process that another one replaced blocks no announcement of that one" with false for true.

Change: a process that goes on announcing itself, with growing sequences, for as long as an announcement lives (10 s), while the known process is silent for as long, is accepted. When the address has answered that it is another process, the next announcement of another process is accepted at once.

Measured: true announcements every 500 ms are accepted 10 s after the forged one, the moment at which its life ends. Delayed announcements that arrive together, also 30 s late, stay outdated, and a known process that announces itself is never displaced by an earlier one.

Why it works: only a process that is alive sends growing sequences over time, which no single message can pretend; delayed messages come at once, and a living known process renews itself well within its life.

--- a/src/core/node/announcement.ts
+++ b/src/core/node/announcement.ts
@@ -24,8 +24,64 @@
 }
 
 /** Returns true when a message is from a later process than the known one, or a later message of the same process, or either is undefined. */
-export function isNewerIncarnation (next: Incarnation | undefined, known: Incarnation | undefined): boolean {
+function isNewerIncarnation (next: Incarnation | undefined, known: Incarnation | undefined): boolean {
   if (next === undefined || known === undefined) return true
   if (next.bornAt !== known.bornAt) return next.bornAt > known.bornAt
   return next.sequence > known.sequence
 }
+
+/** Order of the announcements at one address. */
+export interface AnnouncementOrder {
+  /** Records an announcement. Returns false for one that is outdated. */
+  accept: (next: Incarnation | undefined, now: number) => boolean
+  /** Records that another process answered at the address, so that the known one is gone. */
+  release: () => void
+}
+
+/** A process whose announcements count as outdated, with the last of them. */
+interface Outdated {
+  incarnation: Incarnation
+  /** Time of the first of them. */
+  since: number
+}
+
+function isSameProcess (left: Incarnation, right: Incarnation): boolean {
+  return left.instance === right.instance && left.bornAt === right.bornAt
+}
+
+/**
+ * Creates the order of announcements. The known process and position are only what a message says: one with a start or a sequence
+ * that is too large, or a wall clock that was set back between two starts, would otherwise make every true announcement count as outdated for good. A
+ * process that goes on announcing itself for `lifeMs` while the known one is silent for as long is therefore accepted. Delayed messages arrive
+ * together, so they do not count as going on.
+ */
+export function createAnnouncementOrder (lifeMs: number): AnnouncementOrder {
+  let known: Incarnation | undefined
+  let knownAt = -Infinity
+  let isReleased = false
+  let outdated: Outdated | undefined
+
+  const isGoingOn = (next: Incarnation, now: number): boolean => {
+    if (outdated === undefined || !isSameProcess(next, outdated.incarnation)) {
+      outdated = { incarnation: next, since: now }
+      return false
+    }
+    if (next.sequence <= outdated.incarnation.sequence) return false
+    outdated.incarnation = next
+    return now - outdated.since >= lifeMs && now - knownAt >= lifeMs
+  }
+  return {
+    accept (next, now) {
+      const replacesGone = isReleased && next?.instance !== known?.instance
+      if (!replacesGone && !isNewerIncarnation(next, known) && !(next !== undefined && isGoingOn(next, now))) return false
+      known = next
+      knownAt = now
+      isReleased = false
+      outdated = undefined
+      return true
+    },
+    release () {
+      isReleased = true
+    }
+  }
+}
--- a/src/core/node/target.ts
+++ b/src/core/node/target.ts
@@ -4,7 +4,7 @@
 import type { Target } from '../membership/index.ts'
 import { splitAddress } from '../rpc/index.ts'
 import { createConnector } from '../http/index.ts'
-import { isNewerIncarnation } from './announcement.ts'
+import { createAnnouncementOrder } from './announcement.ts'
 import type { Announcement } from './announcement.ts'
 import { announcementLifeMs } from './constants.ts'
 import { createGate } from './gate.ts'
@@ -25,7 +25,7 @@
 /** State of the node's own target, from its announcements and its connections. */
 export interface OwnTarget {
   /**
-   * Records an announcement or its renewal. Returns false for one that is not newer than the last. A process that is already leaving when it is first
+   * Records an announcement or its renewal. Returns false for an outdated one. A process that is already leaving when it is first
    * heard of gets no requests: an earlier process of this node may have acknowledged that long ago.
    */
   announce: (announcement: Announcement) => boolean
@@ -51,6 +51,7 @@
 /** Creates the state of a target that has not announced itself yet. */
 export function createOwnTarget (peers: Peers, { clock, log }: Environment, options: OwnTargetOptions): OwnTarget {
   const gate = createGate(1, clock, options.adaptiveLimit)
+  const order = createAnnouncementOrder(announcementLifeMs)
   let target: Target | undefined
   let lastAnnouncement: Announcement | undefined
   let pool: Pool | undefined
@@ -87,7 +88,7 @@
   return {
     gate,
     announce (announcement) {
-      if (!isNewerIncarnation(announcement.incarnation, lastAnnouncement?.incarnation)) return false
+      if (!order.accept(announcement.incarnation, clock.now())) return false
       const isSameProcess = lastAnnouncement?.incarnation?.instance === announcement.incarnation?.instance
       const isKnown = lastAnnouncement !== undefined && isSameProcess
       const wasUp = target !== undefined && target.state !== 'down' && isSameProcess
@@ -132,7 +133,9 @@
       return alive
     },
     markReplaced (instance) {
-      if (instance === lastAnnouncement?.incarnation?.instance) setDown()
+      if (instance !== lastAnnouncement?.incarnation?.instance) return
+      order.release()
+      setDown()
     },
     leave () {
       leaving = true
--- a/test/node/target.test.ts
+++ b/test/node/target.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test'
 import { silentLog } from '../../src/core/log/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
+import { createAnnouncementOrder } from '../../src/core/node/announcement.ts'
 import type { Announcement } from '../../src/core/node/announcement.ts'
 import { createOwnTarget } from '../../src/core/node/target.ts'
 import type { OwnTarget } from '../../src/core/node/target.ts'
@@ -85,3 +86,38 @@
   target.announce(announcement('i-2', 20, 1))
   assert.equal(target.acceptsRequests(), true)
 }))
+
+test('a start or a sequence that is too large does not block the true announcements for good', () => {
+  for (const forged of [announcement('i-1', 10, 2 ** 53 - 1), announcement('i-1', 2 ** 53 - 1, 1), announcement('i-9', 2 ** 53 - 1, 2 ** 53 - 1)]) {
+    const time = { now: 0 }
+    const order = createAnnouncementOrder(10_000)
+    assert.equal(order.accept({ instance: 'i-1', bornAt: 10, sequence: 1 }, time.now), true)
+    assert.equal(order.accept(forged.incarnation, 500), true)
+    const acceptedAt = Array.from({ length: 60 }, (_, index) => 1000 + 500 * index).find((at) => order.accept({ instance: 'i-1', bornAt: 10, sequence: 2 + at }, at))
+    assert.equal(acceptedAt, 11_000)
+    assert.equal(order.accept({ instance: 'i-1', bornAt: 10, sequence: 20_000 }, 11_500), true)
+  }
+})
+
+test('delayed announcements of an earlier process that arrive together stay outdated', () => {
+  const order = createAnnouncementOrder(10_000)
+  order.accept({ instance: 'i-2', bornAt: 20, sequence: 1 }, 0)
+  for (let sequence = 1; sequence < 40; sequence++) assert.equal(order.accept({ instance: 'i-1', bornAt: 10, sequence }, 30_000 + sequence), false)
+})
+
+test('an earlier process that goes on announcing itself does not displace a known one that does too', () => {
+  const order = createAnnouncementOrder(10_000)
+  for (let at = 0; at < 60_000; at += 500) {
+    assert.equal(order.accept({ instance: 'i-2', bornAt: 20, sequence: at + 1 }, at), true)
+    assert.equal(order.accept({ instance: 'i-1', bornAt: 10, sequence: at + 1 }, at + 1), false)
+  }
+})
+
+test('a process that another one replaced blocks no announcement of that one', () => withOwnTarget((target) => {
+  target.announce(announcement('i-9', 2 ** 53 - 1, 1))
+  assert.equal(target.announce(announcement('i-1', 10, 1)), false)
+  target.markReplaced('i-9')
+  assert.equal(target.announce(announcement('i-9', 2 ** 53 - 1, 1)), false)
+  assert.equal(target.announce(announcement('i-1', 10, 2)), true)
+  assert.deepEqual([target.instance(), target.acceptsRequests()], ['i-1', true])
+}))
