A configuration with a number too large is refused

Callers saw (in the test) a configuration accepted with limits, weights, rates and bursts of 1e308. With two weights of 1e308, each of 1,000 draws went to the last service of the route.

Cause: whole numbers were checked to be whole and positive and the others to be finite, but sums and products of the largest ones are not.

A stored configuration is not checked again, so a log that holds such a number is still read.

Why it works: no sum over the weights of a route, and no rate over a window, can leave the range in which differences and comparisons of numbers are exact enough to decide.

--- a/src/core/deployment/schema.ts
+++ b/src/core/deployment/schema.ts
@@ -1,11 +1,12 @@
 import * as v from 'valibot'
-import { maxTimeoutMs, priorityRanks } from './constants.ts'
+import { maxQuantity, maxTimeoutMs, priorityRanks } from './constants.ts'
 
-const nonNegativeInteger = v.pipe(v.number(), v.integer(), v.minValue(0))
-const positiveInteger = v.pipe(v.number(), v.integer(), v.minValue(1))
+const nonNegativeInteger = v.pipe(v.number(), v.safeInteger(), v.minValue(0))
+const positiveInteger = v.pipe(v.number(), v.safeInteger(), v.minValue(1))
 const text = v.pipe(v.string(), v.minLength(1), v.maxLength(512))
 const rank = v.pipe(nonNegativeInteger, v.maxValue(priorityRanks - 1))
-const nonNegative = v.pipe(v.number(), v.finite(), v.minValue(0))
+/** A weight, a rate or a burst. Sums and products of such numbers stay finite. */
+const nonNegative = v.pipe(v.number(), v.minValue(0), v.maxValue(maxQuantity))
 const prefix = v.pipe(
   v.string(),
   v.check((path) => path.startsWith('/') && path.endsWith('/'), 'a prefix begins and ends with a slash')
