An odd document of an operator is refused with its reason

Callers saw (in the test) 500 without a reason for a document nested 100,000 deep or one that is no object, and bodies of any size kept in memory: the platform's interface had no limit, and that of the administration API counted only the length that the sender names.

Cause: a document that is passed on whole is encoded recursively, which deep ones do not survive, properties were read from null, and bodies were collected until their end.

Evidence: on the code before, "an odd document of an operator is refused with a reason and is not forwarded" failed with 200 for null and, without the bodies that are no objects, with 500 for objects nested 100,000 deep. No process ended: the exception became the answer. "an odd configuration of the platform …" passed before, as unknown fields are dropped, and stays.

The administration API takes objects nested up to 32 deep; the depth is read from the text.

Measured: 11 odd bodies and one of 6 MB without a length on five paths each get 400 within a second in under 1,000 characters, nothing is forwarded; 12 odd configurations and one of 20 MB too.

Why it works: size and depth are bounded before anything that grows or recurses with them sees the document, so what is passed on can always be encoded again.

--- a/src/core/control/api.ts
+++ b/src/core/control/api.ts
@@ -6,9 +6,12 @@
 import { toNodeHandler } from 'h3/node'
 import { digest, hashKey } from '../auth/index.ts'
 import { fail } from '../errors/index.ts'
+import { readDocument } from '../http/index.ts'
 import type { Action, AdminAnswer, AdminRequest } from './types.ts'
 
 const maxBodyBytes = 4 * 1024 * 1024
+/** Largest depth of nesting of a document; valid ones have a few levels. */
+const maxDepth = 32
 const keyIdDigits = 12
 const keySecretLength = 32
 
@@ -41,15 +44,12 @@
   return { status, body: { error: name, message, hint } }
 }
 
-async function readDocument (event: H3Event): Promise<{ ok: true, value: unknown } | { ok: false, reason: string }> {
-  if (Number(event.req.headers.get('content-length') ?? 0) > maxBodyBytes) return { ok: false, reason: `the body is larger than ${maxBodyBytes} bytes` }
-  const text = await event.req.text()
-  if (text === '') return { ok: true, value: {} }
-  try {
-    return { ok: true, value: JSON.parse(text) }
-  } catch {
-    return { ok: false, reason: 'the body is not valid JSON' }
-  }
+async function readObject (event: H3Event): Promise<{ ok: true, value: object } | { ok: false, reason: string }> {
+  const document = await readDocument(event.req, { maxBytes: maxBodyBytes, maxDepth, isOptional: true })
+  if (!document.ok) return document
+  const { value } = document
+  if (typeof value !== 'object' || value === null || Array.isArray(value)) return { ok: false, reason: 'the document is no object' }
+  return { ok: true, value }
 }
 
 function baseRequest (event: H3Event, action: Action): AdminRequest {
@@ -83,7 +83,7 @@
   })
   const forwardAction = (action: Action) => async (event: H3Event) => sendAnswer(event, await forward(baseRequest(event, action)))
   const forwardDocument = (action: Action, wrap: (document: unknown) => unknown) => async (event: H3Event) => {
-    const document = await readDocument(event)
+    const document = await readObject(event)
     if (!document.ok) return sendAnswer(event, badRequestAnswer(document.reason))
     return sendAnswer(event, await forward({ ...baseRequest(event, action), body: wrap(document.value) }))
   }
@@ -91,7 +91,7 @@
   const wrapDeployment = (document: unknown) => ({ value: document, source: JSON.stringify(document) })
   const passThrough = (document: unknown) => document
   const handleKeyGive = async (event: H3Event) => {
-    const document = await readDocument(event)
+    const document = await readObject(event)
     if (!document.ok) return sendAnswer(event, badRequestAnswer(document.reason))
     const request = baseRequest(event, 'key.give')
     const { workspace } = document.value as { workspace?: unknown }
--- a/src/core/http/index.ts
+++ b/src/core/http/index.ts
@@ -1,4 +1,4 @@
-export { readDocument } from './document.ts'
-export type { ReadDocument } from './document.ts'
+export { readDocument, readText } from './document.ts'
+export type { DocumentLimits, ReadDocument } from './document.ts'
 export { createConnector } from './connect.ts'
 export { closeServer, listen } from './listen.ts'
--- a/src/core/node/local.ts
+++ b/src/core/node/local.ts
@@ -42,7 +42,7 @@
   const recordRefusal = createRefusalRecorder(environment)
   const app = new H3()
   app.put('/.dogwoodspring/target', async (event) => {
-    const document = await readDocument(event.req, maxAnnouncementBytes)
+    const document = await readDocument(event.req, { maxBytes: maxAnnouncementBytes })
     const checked = document.ok ? check(announcementSchema, document.value) : document
     if (!checked.ok) {
       recordRefusal('announcements_refused_total', checked.reason)
--- /dev/null
+++ b/test/control/odd-documents.test.ts
@@ -0,0 +1,65 @@
+import assert from 'node:assert/strict'
+import type { Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { test } from 'node:test'
+import { createOperatorServer } from '../../platform/operator.ts'
+import { createAdminServer } from '../../src/core/control/api.ts'
+import type { Control } from '../../src/core/control/index.ts'
+import type { AdminRequest } from '../../src/core/control/types.ts'
+
+async function withServer (server: Server, use: (url: string) => Promise<void>): Promise<void> {
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  try {
+    await use(`http://127.0.0.1:${(server.address() as AddressInfo).port}`)
+  } finally {
+    server.closeAllConnections()
+    server.close()
+  }
+}
+
+async function send (url: string, method: string, body: string | Buffer | ReadableStream, headers: Record<string, string> = {}) {
+  const response = await fetch(url, { method, body, headers, duplex: 'half', signal: AbortSignal.timeout(1000) } as RequestInit)
+  return { status: response.status, text: await response.text() }
+}
+
+const nested = (depth: number) => '['.repeat(depth) + ']'.repeat(depth)
+const nestedObject = (depth: number) => '{"value":'.repeat(depth) + '1' + '}'.repeat(depth)
+const unreadable: Array<string | Buffer> = ['null', '7', '"x"', '[]', 'NaN', '{', Buffer.of(0xff, 0xfe), nested(1000), nested(1_000_000), nestedObject(1000), nestedObject(100_000)]
+
+/** Returns a body of `megabytes` MB without a content-length. */
+function streamed (megabytes: number): ReadableStream {
+  let left = megabytes
+  return new ReadableStream({ pull: (controller) => left-- > 0 ? controller.enqueue(Buffer.alloc(1024 * 1024, 'x')) : controller.close() })
+}
+
+test('an odd document of an operator is refused with a reason and is not forwarded', async () => {
+  const forwarded: AdminRequest[] = []
+  const server = createAdminServer(async (request) => {
+    forwarded.push(JSON.parse(JSON.stringify(request)) as AdminRequest)
+    return { status: 200, body: {} }
+  }, () => '')
+  await withServer(server, async (url) => {
+    for (const [method, path] of [['PUT', '/v1/deployment'], ['PUT', '/v1/workspaces/w'], ['POST', '/v1/keys'], ['PUT', '/v1/operators/o'], ['PUT', '/v1/members/m']]) {
+      for (const body of unreadable) {
+        const { status, text } = await send(url + path, method, body)
+        assert.deepEqual([status, text.length < 1000], [400, true], `${path} ${body.toString().slice(0, 40)} ${text.slice(0, 100)}`)
+      }
+      assert.equal((await send(url + path, method, streamed(6))).status, 400)
+    }
+    assert.equal(forwarded.length, 0)
+    assert.equal((await send(`${url}/v1/workspaces/w`, 'PUT', '{"template":"t"}')).status, 200)
+  })
+})
+
+test('an odd configuration of the platform is refused with a reason', async () => {
+  const administered: unknown[] = []
+  const control = { administer: (_: string, request: unknown) => Promise.resolve(administered.push(request) && { status: 200, body: {} }) } as unknown as Control
+  await withServer(createOperatorServer(control), async (url) => {
+    const headers = { 'x-dogwoodspring-base-version': '0' }
+    for (const body of [...unreadable, '', streamed(20)]) {
+      const { status, text } = await send(`${url}/-/rpc?call=config.replace`, 'POST', body, headers)
+      assert.deepEqual([status, text.length < 1000], [400, true], text.slice(0, 100))
+    }
+    assert.equal(administered.length, 0)
+  })
+})
