A fetched configuration keeps items with names such as prototype

Callers would have seen a workspace, template or key named "prototype" missing at nodes that fetched a full configuration.

Cause: the checked copy was used, and the schema library leaves keys such as "prototype" out of the records that it copies.

Evidence: the test of fetched configurations, with such a workspace, failed: no workspaces, ["prototype"] expected.

Change: the form is checked and the answer itself is installed.

Why it works: the check reads the answer and does not change it, so what was sent is what is installed, whatever the names of its items are.

--- a/src/core/peers/peers.ts
+++ b/src/core/peers/peers.ts
@@ -247,7 +247,8 @@
     if (!answer.ok || !isOpen) return
     const checked = check(fetchReplySchema, answer.value)
     if (!checked.ok) return recordRefusal('configurations_refused_total', `configuration from ${peer}, ${checked.reason}`)
-    const { full, deltas: newDeltas } = checked.value as FetchReply
+    // The answer itself, because a checked copy leaves out keys such as "prototype", which names may have.
+    const { full, deltas: newDeltas } = answer.value as FetchReply
     if (full !== undefined) {
       deltas = []
       installConfiguration(newerConfiguration(configuration, full), [])
--- a/test/peers/odd-members.test.ts
+++ b/test/peers/odd-members.test.ts
@@ -116,7 +116,7 @@
     request.on('end', () => {
       const { id, method } = JSON.parse(text) as { id: number, method: string }
       const odd = ['null', '{"deltas":[null]}', '{"full":{"revision":1e308}}', '{"full":{"revision":3}}', `{"full":${nestedText(10_000)}}`]
-      const full = '{"full":{"revision":3,"templates":{},"workspaces":{},"keys":{},"slots":{},"bans":{},"deployments":{}}}'
+      const full = '{"full":{"revision":3,"templates":{},"workspaces":{"prototype":{}},"keys":{},"slots":{},"bans":{},"deployments":{}}}'
       response.end(`{"jsonrpc":"2.0","id":${id},"result":${method === 'config.fetch' ? odd[asked++] ?? full : 'null'}}`)
     })
   })
@@ -127,6 +127,7 @@
     await gossip(peers, encodePacket({ type: 'push', from: member('other', { address }), updates: [], digest: 0 }), [[1, 1, 3, Date.now(), 'other', address], 0])
     for (let waited = 0; waited < 3000 && peers.configuration().revision < 3; waited += 50) await pause(50)
     assert.equal(peers.configuration().revision, 3)
+    assert.deepEqual(Object.keys(peers.configuration().workspaces), ['prototype'])
   })
   server.close()
 })
