Processes with odd entries from other writers, as a test

Cause and change: no code of the product.

Why it works: the test uses real processes and sockets, so an exception anywhere on these ways ends a process and shows as a missing answer.

--- a/test/platform/machines.ts
+++ b/test/platform/machines.ts
@@ -11,7 +11,7 @@
 import type { Dispatcher } from 'undici'
 
 const program = join(import.meta.dirname, '../../platform/main.ts')
-const secret = 'cluster-secret-for-tests'
+export const secret = 'cluster-secret-for-tests'
 const callPath = '/-/rpc'
 
 /** A response to a request of a test, with status 0 if there was none. */
@@ -35,6 +35,11 @@
   send: (sidecar: number, path: string, headers?: Record<string, string>) => Promise<Reply>
   /** Sends from the address that the sidecar shares with its server. */
   sendFromMachine: (sidecar: number, path: string, headers?: Record<string, string>) => Promise<Reply>
+  /** Sends a heartbeat with any body to a sidecar. */
+  sendHeartbeatText: (sidecar: number, id: string, body: string) => Promise<Reply>
+  /** Port for traffic between processes, the same on all machines. */
+  peerPort: number
+  isRunning: (name: string) => boolean
   readyStatus: (sidecar: number) => Promise<number>
   logOf: (name: string) => string
   stop: () => Promise<void>
@@ -157,6 +162,9 @@
     readConfiguration: (core) => sendCall(`http://${coreIp(core)}:${control}${callPath}?call=config.get`, { method: 'POST' }),
     send: (sidecar, path, headers) => send(sidecar, path, headers),
     sendFromMachine: (sidecar, path, headers) => send(sidecar, path, headers, new Agent({ connect: { localAddress: sidecarIp(sidecar) } })),
+    sendHeartbeatText: (sidecar, id, body) => sendCall(`http://${sidecarIp(sidecar)}:${control}${callPath}?call=instances.heartbeat&of=${id}`, { method: 'POST', body }),
+    peerPort: peer,
+    isRunning: (name) => children.get(name)?.child.exitCode === null && children.get(name)?.child.signalCode === null,
     readyStatus: async (sidecar) => (await sendCall(`http://${sidecarIp(sidecar)}:${ready}/-/ready`, { method: 'GET' })).status,
     logOf: (name) => children.get(name)?.log.join('') ?? '',
     async stop () {
