A log without a reader stops no process and holds bounded memory

Missing: lines went to standard error one by one without a bound. A pipe that nobody read collected them in memory, a reader that closed its end killed the process with EPIPE, and a stop waited for a stalled reader without end.

Cause: the reporters called process.stderr.write for each line, without its callback and without a listener for its errors.

It works because standard error is asynchronous for pipes and sockets, so that only the amount that waits had to be bounded.

--- a/src/cli/runtime.ts
+++ b/src/cli/runtime.ts
@@ -1,6 +1,6 @@
 import { setFlagsFromString } from 'node:v8'
 import { systemClock } from '../core/clock/index.ts'
-import { createLog } from '../core/log/index.ts'
+import { createLog, createStandardWriter } from '../core/log/index.ts'
 import { createMetrics } from '../core/metrics/index.ts'
 import type { Environment } from '../core/peers/index.ts'
 import { createUnpredictableRandom } from '../core/random/index.ts'
@@ -14,7 +14,9 @@
 
 /** Creates the environment of a long-running process. */
 export function createEnvironment (jsonLog: boolean): Environment {
-  return { clock: systemClock, random: createUnpredictableRandom(), log: createLog(jsonLog), metrics: createMetrics() }
+  const metrics = createMetrics()
+  const writer = createStandardWriter(jsonLog, systemClock, (lines) => metrics.count('log_lines_lost_total', lines))
+  return { clock: systemClock, random: createUnpredictableRandom(), log: createLog(jsonLog, writer), metrics }
 }
 
 /** Prints the addresses in use as one line of JSON, for scripts that start processes with port 0. */
--- a/test/cli/long-output.ts
+++ b/test/cli/long-output.ts
@@ -11,4 +11,13 @@
   }
 }
 
-runCli([LongCommand])
+class LogCommand extends Command {
+  static override paths = [['log']]
+
+  async execute (): Promise<number> {
+    this.context.stderr.write('x'.repeat(2_000_000))
+    return 4
+  }
+}
+
+runCli([LongCommand, LogCommand])
--- a/test/cli/run.test.ts
+++ b/test/cli/run.test.ts
@@ -16,3 +16,12 @@
   assert.equal(await ended, 3)
   assert.equal(length, 2_000_000)
 })
+
+test('a command ends although nobody reads its standard error', async () => {
+  const child = spawn(process.execPath, ['--import', 'tsx', join(import.meta.dirname, 'long-output.ts'), 'log'], { stdio: ['ignore', 'ignore', 'pipe'] })
+  const timeout = setTimeout(() => child.kill('SIGKILL'), 15_000)
+  const code = await new Promise<number | null>((resolve) => child.once('exit', resolve))
+  clearTimeout(timeout)
+  child.stderr.destroy()
+  assert.equal(code, 4)
+})
