Catalogue of events on requests, each kind with its volume of lines and bytes

Missing: a log of decisions on requests whose volume does not grow with load. One kind of refusal in an overload would hide all other lines.

Cause: the log had free messages for state changes only, without typed fields and without a bound.

Change: a catalogue of events (name, message, level, volume, typed fields), and a request log that gives each kind its own budget of lines and bytes a second.

--- /dev/null
+++ b/src/core/log/events.ts
@@ -0,0 +1,143 @@
+/** Lines and bytes of one kind of event that are written in a second, at most. */
+export interface Volume {
+  lines: number
+  bytes: number
+}
+
+/** One entry of the catalogue of events. */
+export interface EventKind<Fields> {
+  /** Stable name for searches and scripts. */
+  name: string
+  /** What happened, in one line. */
+  message: string
+  level: 'info' | 'warn'
+  volume: Volume
+  /** Type of the fields; never present at run time. */
+  fields?: Fields
+}
+
+/** Volume of the events that state how a request ended. */
+const endVolume: Volume = { lines: 100, bytes: 48 * 1024 }
+
+/** Volume of the events that state one decision on the way. */
+const decisionVolume: Volume = { lines: 50, bytes: 24 * 1024 }
+
+function defineEvent<Fields> (value: Omit<EventKind<Fields>, 'level' | 'volume'> & Partial<EventKind<Fields>>): EventKind<Fields> {
+  return { level: 'warn', volume: decisionVolume, ...value }
+}
+
+/** Failure that a decision led to: its stable code in the error catalogue, and its text. */
+interface Cause {
+  code: string
+  reason: string
+}
+
+/** Place of a call in the configuration. */
+interface Callee {
+  service: string
+  route: string
+  workspace: string | null
+  /** Lower numbers are shed later; negative for calls of requests in progress. */
+  priority: number
+}
+
+/**
+ * All events on requests. Each line also has the request's id, its chain and the node. Names and fields never change their
+ * meaning once released; times are in ms.
+ */
+export const requestEvents = {
+  /** A filter of the node at which the request arrived refused it. */
+  requestRefused: defineEvent<Cause & {
+    method: string
+    host: string
+    route: string | null
+    workspace: string | null
+    status: number
+    /** Rate and burst of the workspace, in requests per second and requests; 0 when no route was found. */
+    rate: number
+    burst: number
+    /** Revision of the configuration that decided. */
+    revision: number
+    elapsedMs: number
+  }>({ name: 'request_refused', message: 'request refused at its entry', volume: endVolume }),
+  /** The sending side refused a request before an attempt, to spare loaded services. */
+  requestTurnedAway: defineEvent<Cause & Callee & {
+    rule: 'admission fraction' | 'throttle'
+    /** Admission fraction of the callee as last reported, 0 to 1. */
+    fraction: number
+    expectedRetry: boolean
+  }>({ name: 'request_turned_away', message: 'request refused before an attempt' }),
+  /** The node of a target refused a call before the target received it. */
+  callRefused: defineEvent<Cause & Callee & {
+    /** State and service of the node's own target. */
+    targetState: string | null
+    targetService: string | null
+    instance: string | null
+    elsewhere: boolean
+    timeLeftMs: number
+  }>({ name: 'call_refused', message: 'call refused by the node of a target' }),
+  /** The queue before a target shed a call. */
+  callShed: defineEvent<Cause & Callee & {
+    shedReason: string
+    waitedMs: number
+    /** Longest wait that the call allowed; null for the default of the queue. */
+    maxWaitMs: number | null
+    running: number
+    limit: number
+    load: number
+    timeLeftMs: number
+  }>({ name: 'call_shed', message: 'call shed by the queue before a target' }),
+  /** A request under a claim may not run, as the claim states. */
+  claimRefused: defineEvent<Callee & { claim: string, reason: string }>({ name: 'claim_refused', message: 'claim not granted, request not run by this attempt' }),
+  /** A target reported that it did not run a request. */
+  targetRefused: defineEvent<Cause & Callee & { status: number, instance: string | null }>({ name: 'target_refused', message: 'target turned a request away without running it' }),
+  /** An exchange with a target ended without a complete answer. */
+  targetFailed: defineEvent<Callee & {
+    reason: string
+    cause: string
+    /** The request was passed to a connection, so the target may have run it. */
+    written: boolean
+    /** The head of an answer was received. */
+    answered: boolean
+    instance: string | null
+    elapsedMs: number
+    timeLeftMs: number
+  }>({ name: 'target_failed', message: 'exchange with a target ended without a complete answer' }),
+  /** One attempt ended without an answer; `next` is the decision on what follows. */
+  attemptEnded: defineEvent<Cause & Callee & {
+    to: string
+    outcome: string
+    next: string
+    /** Load that the target's node reported: running and waiting requests divided by its limit. */
+    load: number
+    budgetLeft: number
+    elapsedMs: number
+    timeLeftMs: number
+  }>({ name: 'attempt_ended', message: 'attempt ended without an answer' }),
+  /** A request ended without a whole answer, with an error of its target, or without its caller. */
+  requestEnded: defineEvent<Cause & Callee & {
+    outcome: string
+    status: number | null
+    depth: number
+    extraAttempts: number
+    callerLeft: boolean
+    elapsedMs: number
+    timeLeftMs: number
+  }>({ name: 'request_ended', message: 'request ended without a good answer', volume: endVolume }),
+  /** One of many requests that ended well. */
+  requestAnswered: defineEvent<Callee & { status: number, extraAttempts: number, elapsedMs: number, timeLeftMs: number }>({
+    name: 'request_answered', message: 'request answered (sample)', level: 'info', volume: { lines: 5, bytes: 2 * 1024 }
+  }),
+  /** An outgoing call of a target was refused before a target was chosen for it. */
+  outgoingRefused: defineEvent<Cause & { depth: number | null, workspace: string | null }>({ name: 'outgoing_refused', message: 'outgoing call of a target refused' }),
+  /** The caller had left before its request began. */
+  requestAbandoned: defineEvent<{ method: string }>({ name: 'request_abandoned', message: 'caller left before its request began', level: 'info' }),
+  /** A request ended with an error that the program does not expect. */
+  requestCrashed: defineEvent<{ error: string }>({ name: 'request_crashed', message: 'request ended with an unexpected error', volume: { lines: 10, bytes: 24 * 1024 } })
+} as const
+
+/** Names of the events in the program. */
+export type EventName = keyof typeof requestEvents
+
+/** Fields of an event. */
+export type EventFields<Name extends EventName> = NonNullable<(typeof requestEvents)[Name]['fields']>
--- a/src/core/log/index.ts
+++ b/src/core/log/index.ts
@@ -9,6 +9,10 @@
 
 export { createLineWriter, droppedEvent } from './line-writer.ts'
 export type { LineSink, LineWriter } from './line-writer.ts'
+export { requestEvents } from './events.ts'
+export type { EventFields, EventName } from './events.ts'
+export { createRequestLog } from './request-log.ts'
+export type { LoggedRequest, RequestLog } from './request-log.ts'
 export type { Log } from './types.ts'
 
 function formatJson (entry: Pick<LogObject, 'args' | 'date' | 'type'>): string {
