Each decision on a request that gets no good answer is logged with its inputs

Missing: a refused or failed request left no line. Its caller's id was in no log, and which rule refused it, at which node and on which values, could only be guessed from counters.

Change: src/core/node/decisions.ts writes the events of the catalogue: refusals at the entry (with limit, leased share and unanswered reports for over_rate), refusals before an attempt, by the queue, by the node of a target and by claims, failed exchanges, each ended attempt with what follows, the end of the request, callers that left, outgoing calls. The line has the id that the caller sent, on each node that the call passes, and the chain. Texts that contain a key are withheld. Good answers are counted as before; one in 500 is logged.

It works because the caller's id is one of the headers that are forwarded, so that the nodes need no new field between them.

--- a/src/core/log/events.ts
+++ b/src/core/log/events.ts
@@ -53,9 +53,10 @@
     route: string | null
     workspace: string | null
     status: number
-    /** Rate and burst of the workspace, in requests per second and requests; 0 when no route was found. */
-    rate: number
-    burst: number
+    /** Limit of the workspace: requests per second and burst in requests. */
+    limit: { rate: number, burst: number } | null
+    /** For a refusal over the rate: leased share of this node, requests left of it, requests that wait, and time since the oldest unanswered report. */
+    rateState: { share: number, left: number, waiting: number, unansweredMs: number } | null
     /** Revision of the configuration that decided. */
     revision: number
     elapsedMs: number
@@ -125,7 +126,7 @@
     timeLeftMs: number
   }>({ name: 'request_ended', message: 'request ended without a good answer', volume: endVolume }),
   /** One of many requests that ended well. */
-  requestAnswered: defineEvent<Callee & { status: number, extraAttempts: number, elapsedMs: number, timeLeftMs: number }>({
+  requestAnswered: defineEvent<Callee & { status: number | null, extraAttempts: number, elapsedMs: number, timeLeftMs: number }>({
     name: 'request_answered', message: 'request answered (sample)', level: 'info', volume: { lines: 5, bytes: 2 * 1024 }
   }),
   /** An outgoing call of a target was refused before a target was chosen for it. */
--- a/src/core/log/request-log.ts
+++ b/src/core/log/request-log.ts
@@ -25,13 +25,16 @@
 
 /** Writes the events on requests. */
 export interface RequestLog {
-  write: <Name extends EventName>(name: Name, request: LoggedRequest, fields: EventFields<Name>) => void
+  /** Writes an event if its volume allows that; only then are its fields read. */
+  write: <Name extends EventName>(name: Name, describe: () => LoggedRequest & EventFields<Name>) => void
 }
 
 interface Kind {
   budget: VolumeBudget
   /** Lines left out since the last report. */
   dropped: number
+  /** Name of the counter of dropped lines. */
+  counter: string
 }
 
 /** Creates the log of a node's requests. Each kind of event has a volume; what exceeds it is counted and reported once a second. */
@@ -41,7 +44,7 @@
   const kindOf = (name: EventName): Kind => {
     const existing = kinds.get(name)
     if (existing !== undefined) return existing
-    const created = { budget: createVolumeBudget(requestEvents[name].volume, clock.now()), dropped: 0 }
+    const created = { budget: createVolumeBudget(requestEvents[name].volume, clock.now()), dropped: 0, counter: `log_lines_dropped_total{event="${requestEvents[name].name}"}` }
     kinds.set(name, created)
     return created
   }
@@ -53,17 +56,17 @@
       kind.dropped = 0
     }
   }
-  const drop = (name: EventName, kind: Kind) => {
+  const drop = (kind: Kind) => {
     kind.dropped++
-    metrics.count(`log_lines_dropped_total{event="${requestEvents[name].name}"}`)
+    metrics.count(kind.counter)
     timer ??= setTimeout(reportDropped, reportIntervalMs).unref()
   }
   return {
-    write (name, request, fields) {
+    write (name, describe) {
       const kind = kindOf(name)
       const { name: event, message, level, volume } = requestEvents[name]
-      if (!allowsLine(kind.budget, volume, clock.now())) return drop(name, kind)
-      const details = { event, node, ...request, ...fields }
+      if (!allowsLine(kind.budget, volume, clock.now())) return drop(kind)
+      const details = { event, node, ...describe() }
       chargeLine(kind.budget, frameBytes + Buffer.byteLength(JSON.stringify(details)))
       log[level](message, details)
     }
--- a/src/core/node/attempts.ts
+++ b/src/core/node/attempts.ts
@@ -11,6 +11,7 @@
 import { chooseTarget, createTargetStats, recordAnswer, recordFailure, statsOf } from '../routing/index.ts'
 import type { Candidate } from '../routing/index.ts'
 import { inProgressPriority } from './constants.ts'
+import type { Decisions, TurnAway } from './decisions.ts'
 import type { Forwarder } from './forward.ts'
 import type { CallServer } from './serve.ts'
 import { calleeKey, emptyReport } from './types.ts'
@@ -68,7 +69,8 @@
 
 /** Creates the part of a node that calls targets. */
 export function createCallSender (
-  peers: Peers, server: CallServer, forwarder: Forwarder, fleetRetries: number, reportedFractions: ReportedFractions, { clock, random, metrics }: Environment
+  peers: Peers, server: CallServer, forwarder: Forwarder, fleetRetries: number, reportedFractions: ReportedFractions, decisions: Decisions,
+  { clock, random, metrics }: Environment
 ): CallSender {
   const statsByNode = createTargetStats()
   const retryTokens = createRetryTokens()
@@ -117,6 +119,11 @@
     const elsewhere = outcome.type === 'refused' ? outcome.elsewhere : true
     return mayRetry({ notRun, crashed, suspect: call.context.suspect, elsewhere }, call.context.idempotent, call.deadlineAt - clock.now())
   }
+  const turnAway = (call: Call, reason: string, rule: TurnAway['rule']): AttemptOutcome => {
+    const failure = fail('overloaded', { service: call.context.service, reason })
+    decisions.turnAway(call, failure, { rule, fraction: reportedFractionOf(reportedFractions, calleeKey(call.context), clock.now()) })
+    return createRefusal(failure, true)
+  }
   const throttleKey = ({ context }: Call) => `${context.template}/${context.route}/${context.workspace ?? ''}/${context.priority}`
 
   return {
@@ -126,11 +133,11 @@
       const isNewRequest = priority > inProgressPriority && call.context.depth === 0
       if (isNewRequest && !isAdmitted(reportedFractionOf(reportedFractions, calleeKey(call.context), clock.now()), priority, random.next(), call.isExpectedRetry)) {
         metrics.count(`turned_away_total{priority="${priority}"}`)
-        return createRefusal(fail('overloaded', { service, reason: 'refused before it began, as it leads to services that cannot bear more' }), true)
+        return turnAway(call, 'refused before it began, as it leads to services that cannot bear more', 'admission fraction')
       }
       if (priority > inProgressPriority && !passesThrottle(throttle, key, priority, random.next(), clock.now())) {
         metrics.count(`throttled_total{priority="${priorities[priority]}"}`)
-        return createRefusal(fail('overloaded', { service, reason: 'refused early, as targets further down refuse' }), true)
+        return turnAway(call, 'refused early, as targets further down refuse', 'throttle')
       }
       const tried = new Set<string>()
       const refusedBy = new Set<string>()
@@ -151,20 +158,32 @@
         const all = findEndpoints(service)
         const chosen = chooseTarget(statsByNode, findCandidates(all), peers.self().domain, clock.now(), random) as Endpoint | undefined
         if (chosen === undefined) return mayHaveRun ?? createRefusal(fail('noTarget', { service }), false)
+        const attemptedAt = clock.now()
         const outcome = await attemptOnce(next, budget, chosen, sink, waitLeft())
+        const logEnd = (what: string) => decisions.endAttempt(call, { to: chosen.node, outcome, next: what, budgetLeft: budget.left, startedAt: attemptedAt })
+        /** Ends the call for the given reason. */
+        const end = (reason: string) => {
+          logEnd(reason)
+          return finalOutcome(outcome, mayHaveRun)
+        }
         const overloaded = outcome.report.shed || (outcome.type === 'answered' && outcome.status === 503)
         recordOutcome(throttle, key, priority, !overloaded, clock.now())
         if (outcome.type === 'answered') depositRetryToken(retryTokens, service)
         if (outcome.type === 'failed') mayHaveRun = outcome
         tried.add(chosen.node)
         if (outcome.type === 'refused' && outcome.arrived) refusedBy.add(chosen.node)
-        if (!canRetry(next, outcome)) return finalOutcome(outcome, mayHaveRun)
+        if (!canRetry(next, outcome)) return end('end: a retry is not allowed')
         if (didNotArrive(outcome)) {
-          if (tried.size >= Math.min(all.length, maxEndpoints) || (waitLeft() ?? 1) <= 0) return finalOutcome(outcome, mayHaveRun)
+          if (tried.size >= Math.min(all.length, maxEndpoints)) return end('end: no endpoint is left to try')
+          if ((waitLeft() ?? 1) <= 0) return end('end: no time is left to wait')
+          logEnd('another endpoint')
           continue
         }
-        if (budget.left < 1 || findCandidates(all).length === 0 || !takeRetryToken(retryTokens, service)) return finalOutcome(outcome, mayHaveRun)
+        if (budget.left < 1) return end('end: no extra attempt is left')
+        if (findCandidates(all).length === 0) return end('end: every target has refused it')
+        if (!takeRetryToken(retryTokens, service)) return end('end: the service has no retry token')
         consumeAttempt(budget)
+        logEnd('retry')
         metrics.count('retries_total')
         if (outcome.type === 'failed' && outcome.crashed) next = { ...call, context: { ...call.context, suspect: true } }
       }
--- a/src/core/node/entry.ts
+++ b/src/core/node/entry.ts
@@ -5,6 +5,7 @@
 import { fingerprintOf } from '../quarantine/index.ts'
 import { createBudget } from '../retries/index.ts'
 import { inProgressPriority, waitFraction } from './constants.ts'
+import type { RequestEnd } from './decisions.ts'
 import type { CallerRequest, Dialect } from './dialect.ts'
 import { filters, isCallInProgress, requestTimeoutMs } from './filters.ts'
 import type { Arrival, EntryContext } from './filters.ts'
@@ -83,15 +84,19 @@
 
 /** Serves one request of a caller that was read at `arrivedAt`, and writes its answer or refusal. */
 export async function serveCaller (request: IncomingMessage, response: ServerResponse, arrivedAt: number, context: EntryContext): Promise<void> {
-  const { dialect, environment: { clock, metrics } } = context
+  const { dialect, decisions, environment: { clock, metrics } } = context
   const parsed = dialect.read(request)
-  if (!parsed.ok) return dialect.writeRefusal(response, { failure: parsed, run: 'not-run', retryAfterMs: 0 })
+  if (!parsed.ok) {
+    decisions.refuseArrival(createArrival(request, { host: '', key: undefined, timeLeftMs: undefined, fromTargetAddress: false }), parsed, arrivedAt)
+    return dialect.writeRefusal(response, { failure: parsed, run: 'not-run', retryAfterMs: 0 })
+  }
   const arrival = createArrival(request, parsed.value)
   for (const filter of filters[dialect.configuredBy]) {
     const pending = filter(arrival, context)
     const checked = pending instanceof Promise ? await pending : pending
     if (checked.ok) continue
     metrics.count(`refused_total{code="${checked.name}"}`)
+    decisions.refuseArrival(arrival, checked, arrivedAt)
     return context.refusals.refuseArrival(response, checked, arrival)
   }
   invariant(arrival.route !== undefined, 'the filters passed a request without a route')
@@ -100,8 +105,11 @@
   call.isExpectedRetry = !inProgress && context.refusals.matchExpectedRetry(call.context.fingerprint)
   if (inProgress) context.dependencies.recordCall(calleeKey(call.context))
   if (response.destroyed) call.cancellation.cancel()
+  const ended: { end?: RequestEnd } = {}
   response.once('close', () => {
-    if (!response.writableFinished) call.cancellation.cancel()
+    if (response.writableFinished) return
+    call.cancellation.cancel()
+    if (ended.end !== undefined) decisions.recordUndelivered(call, ended.end)
   })
   const budget = createBudget(call.context.budget)
   const outcome = await context.callSender.send(call, budget, createResponseSink(response))
@@ -109,5 +117,7 @@
   metrics.time('call', clock.now() - arrivedAt)
   metrics.count(`calls_total{outcome="${outcome.type}"}`)
   metrics.count('extra_attempts_total', budget.used)
+  ended.end = { outcome, extraAttempts: budget.used, startedAt: arrivedAt }
+  decisions.endRequest(call, ended.end)
   await context.refusals.refuseUnlessAnswered(response, call, outcome)
 }
--- a/src/core/node/filters.ts
+++ b/src/core/node/filters.ts
@@ -7,6 +7,7 @@
 import type { CallSender } from './attempts.ts'
 import { readBody } from './body.ts'
 import { maxBodyBytes, ownPathPrefix } from './constants.ts'
+import type { Decisions } from './decisions.ts'
 import type { Dependencies } from './dependencies.ts'
 import type { CallerRequest, Dialect } from './dialect.ts'
 import { containsKey } from './headers.ts'
@@ -47,6 +48,7 @@
   findKeyFailure: KeyCheck
   /** Returns false for a request that this node no longer begins because it stops. */
   mayBegin: (request: StoppingRequest) => boolean
+  decisions: Decisions
   environment: Environment
 }
 
--- a/src/core/node/identity.ts
+++ b/src/core/node/identity.ts
@@ -4,6 +4,7 @@
 import { createDeploymentTable, drawService, normalizeHost } from '../deployment/index.ts'
 import type { DeploymentTable } from '../deployment/index.ts'
 import type { Random } from '../random/index.ts'
+import type { Limit } from '../rate/index.ts'
 
 /** Owner of the key of a request. */
 export interface Identity {
@@ -22,6 +23,8 @@
   deployment: () => DeploymentTable | undefined
   /** Returns true when the deployment in force has workspaces: only then do callers have keys. */
   callersHaveKeys: () => boolean
+  /** Returns rate and burst of a workspace of the deployment in force, or else of the templates. */
+  limitOf: (workspace: string) => Limit | undefined
   /** Returns false for a workspace without a rate in the deployment in force. */
   isLimited: (workspace: string) => boolean
   /** Finds the route in the deployment and draws one of its services at random. */
@@ -47,6 +50,12 @@
     if (deploymentTable?.deployment !== deployment) deploymentTable = deployment && createDeploymentTable(deployment)
     return deploymentTable
   }
+  const findParameters = (name: string) => {
+    const { templates, workspaces } = configuration()
+    const workspace = workspaces[name]
+    const template = workspace && templates[workspace.template]
+    return template && parametersOf(template, workspace)
+  }
   return {
     routes: refreshRoutes,
     identify (clearKey) {
@@ -55,11 +64,10 @@
       if (keyId === undefined || key === undefined || key.hash !== hashKey(clearKey)) return undefined
       return { workspace: key.workspace, keyId }
     },
-    parametersOf (name) {
-      const { templates, workspaces } = configuration()
-      const workspace = workspaces[name]
-      const template = workspace && templates[workspace.template]
-      return template && parametersOf(template, workspace)
+    parametersOf: findParameters,
+    limitOf (name) {
+      const { rate, burst } = refreshDeploymentTable()?.findWorkspace(name) ?? findParameters(name) ?? {}
+      return rate === undefined || burst === undefined ? undefined : { rate, burst }
     },
     deployment: refreshDeploymentTable,
     isLimited: (workspace) => refreshDeploymentTable()?.findWorkspace(workspace)?.rate !== 0,
--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -6,6 +6,7 @@
 import type { Hash } from '../claims/index.ts'
 import { serveClaims } from '../claims/service.ts'
 import { closeServer, listen } from '../http/index.ts'
+import { createRequestLog } from '../log/index.ts'
 import { createPeers } from '../peers/index.ts'
 import type { Environment } from '../peers/index.ts'
 import { createRateClient } from '../rate/client.ts'
@@ -17,6 +18,7 @@
 import { callerKeepAliveMs, contextHeader, leaveGraceMs, maxHeaderBytes, ownPathPrefix } from './constants.ts'
 import { createCrashReporter } from './crashes.ts'
 import { serveCaller } from './entry.ts'
+import { createDecisions } from './decisions.ts'
 import { createDependencies } from './dependencies.ts'
 import { defaultDialect } from './dialect.ts'
 import type { Dialect } from './dialect.ts'
@@ -105,20 +107,22 @@
   const claimHolder = serveClaims(peers, environment)
   const claims = createClaimClient(peers, environment, hash)
   const rates = createRateClient(peers, createMeter(options.rateWindowMs ?? 0), environment)
+  const directory = createDirectory(peers.configuration, random)
+  const requestLog = createRequestLog(id, log, metrics, clock)
+  const decisions = createDecisions({ requestLog, dialect, target, directory, rates, clock, revision: () => peers.configuration().revision })
   const findKeyFailure = createKeyCheck(peers, clock, { configuredBy: dialect.configuredBy, strict: strictKeys })
   const crashes = createCrashReporter(peers, target, environment)
   let stop: Stop | undefined
   const mayBegin = (request: StoppingRequest) => beginsDuring(stop, request, clock.now())
-  const server = createCallServer({ dialect, findKeyFailure, mayBegin, dependencies, reportedFractions, peers, target, claims, crashes, spans, environment })
+  const server = createCallServer({ dialect, findKeyFailure, mayBegin, dependencies, reportedFractions, peers, target, claims, crashes, spans, decisions, environment })
   const forwarder = createForwarder(peers, environment)
   peers.onMemberChange((member) => {
     if (member.status !== 'alive') forwarder.probeNode(member.address)
   })
-  const callSender = createCallSender(peers, server, forwarder, options.fleetRetries ?? Infinity, reportedFractions, environment)
-  const directory = createDirectory(peers.configuration, random)
+  const callSender = createCallSender(peers, server, forwarder, options.fleetRetries ?? Infinity, reportedFractions, decisions, environment)
   const refusals = createRefusals(claims, dialect, random, clock)
-  const entryContext = { dialect, dependencies, peers, directory, rates, callSender, refusals, findKeyFailure, mayBegin, environment }
-  const outgoingContext = { dialect, dependencies, findKeyFailure, peers, directory, spans, callSender, refusals, mayBegin, environment }
+  const entryContext = { dialect, dependencies, peers, directory, rates, callSender, refusals, findKeyFailure, mayBegin, decisions, environment }
+  const outgoingContext = { dialect, dependencies, findKeyFailure, peers, directory, spans, callSender, refusals, mayBegin, decisions, environment }
   const backlog = createBacklog(clock)
   const running = createRunningRequests(clock)
 
@@ -131,10 +135,14 @@
     const id = request.headers[dialect.requestIdHeader]?.toString()
     response.once('close', running.begin({ id, source: 'caller', giveUp: () => refusals.refuseGivenUp(response) }))
     backlog.run(() => {
-      if (hasLeft(request, response)) return metrics.count('requests_abandoned_total')
+      if (hasLeft(request, response)) {
+        metrics.count('requests_abandoned_total')
+        return decisions.abandon(request)
+      }
       serve().catch((error: Error) => {
         logUnexpectedError(error)
-        abortResponse(response)
+          decisions.crash(request, error)
+          abortResponse(response)
       })
     })
   }
--- a/src/core/node/outgoing.ts
+++ b/src/core/node/outgoing.ts
@@ -8,6 +8,7 @@
 import { readBody } from './body.ts'
 import { contextHeader, maxBodyBytes, maxDepth } from './constants.ts'
 import { requestDigest } from './entry.ts'
+import type { Decisions } from './decisions.ts'
 import type { Dependencies } from './dependencies.ts'
 import type { Dialect } from './dialect.ts'
 import { headerOf } from './headers.ts'
@@ -33,6 +34,7 @@
   refusals: Refusals
   /** Returns false for a call that this node no longer begins because it stops. */
   mayBegin: (call: StoppingRequest) => boolean
+  decisions: Decisions
   environment: Environment
 }
 
@@ -92,14 +94,17 @@
 /** Serves an outgoing call that the node's own target makes for a request that it is running. */
 export async function serveOutgoing (request: IncomingMessage, response: ServerResponse, context: OutgoingContext): Promise<void> {
   const { clock, metrics } = context.environment
+  const startedAt = clock.now()
   const span = context.spans.find(String(request.headers[contextHeader]))
-  if (span === undefined) {
-    return writeFailure(response, fail('badRequest', { reason: `${contextHeader} names no request that runs here` }), 'not-run')
+  const refuse = (failure: Failure) => {
+    context.decisions.refuseOutgoing(request, span?.context, failure)
+    writeFailure(response, failure, 'not-run')
   }
+  if (span === undefined) return refuse(fail('badRequest', { reason: `${contextHeader} names no request that runs here` }))
   const body = await readBody(request, maxBodyBytes)
-  if (!body.ok) return writeFailure(response, body, 'not-run')
+  if (!body.ok) return refuse(body)
   const outgoingCall = createOutgoingCall(request, span, body.value, context)
-  if ('ok' in outgoingCall) return writeFailure(response, outgoingCall, 'not-run')
+  if ('ok' in outgoingCall) return refuse(outgoingCall)
   const stopListening = span.cancellation.listen(() => outgoingCall.cancellation.cancel())
   response.once('close', () => {
     if (!response.writableFinished) outgoingCall.cancellation.cancel()
@@ -110,6 +115,7 @@
   recordOutgoingEnd(span, clock.now())
   stopListening()
   if (outcome.report.shed) span.shed = true
+  context.decisions.endRequest(outgoingCall, { outcome, extraAttempts: 0, startedAt })
   metrics.count(`outgoing_total{outcome="${outcome.type}"}`)
   await context.refusals.refuseUnlessAnswered(response, outgoingCall, outcome)
 }
--- a/src/core/node/serve.ts
+++ b/src/core/node/serve.ts
@@ -8,6 +8,7 @@
 import { reportedFractionOf } from '../admission/index.ts'
 import type { ReportedFractions } from '../admission/index.ts'
 import type { CrashReporter } from './crashes.ts'
+import type { Decisions } from './decisions.ts'
 import { sendExchange } from './exchange.ts'
 import type { ExchangeError } from './exchange.ts'
 import { inProgressPriority } from './constants.ts'
@@ -50,6 +51,7 @@
   dependencies: Dependencies
   /** Admission fractions reported by other services' nodes. */
   reportedFractions: ReportedFractions
+  decisions: Decisions
   environment: Environment
 }
 
@@ -71,7 +73,7 @@
 
 /** Creates the part of a node that serves calls with its own target. */
 export function createCallServer (context: ServeContext): CallServer {
-  const { dialect, findKeyFailure, mayBegin, peers, target, claims, crashes, spans, dependencies, reportedFractions, environment } = context
+  const { dialect, findKeyFailure, mayBegin, peers, target, claims, crashes, spans, dependencies, reportedFractions, decisions, environment } = context
   const { clock, metrics } = environment
   const suspectQueue = createSerialQueue()
   const refusedIds = createRefusedIds(clock)
@@ -91,6 +93,12 @@
   }
   const createFailure = (call: Call, failure: Failure, crashed: boolean, span?: Span): AttemptOutcome => ({ type: 'failed', failure, crashed, report: createReport(call, span) })
 
+  /** Refuses a call before the target received it. */
+  const refuse = (call: Call, { failure, elsewhere }: { failure: Failure, elsewhere: boolean }): AttemptOutcome => {
+    decisions.refuseCall(call, failure, elsewhere)
+    return createRefusal(call, failure, elsewhere)
+  }
+
   const findRefusal = (call: Call): { failure: Failure, elsewhere: boolean } | undefined => {
     const { service, fingerprint, priority } = call.context
     const now = clock.now()
@@ -113,7 +121,7 @@
 
   const serve = async (call: Call, sink: Sink): Promise<AttemptOutcome> => {
     const refusal = findRefusal(call)
-    if (refusal !== undefined) return createRefusal(call, refusal.failure, refusal.elsewhere)
+    if (refusal !== undefined) return refuse(call, refusal)
     if (!call.context.suspect) return await admit(call, sink)
     const release = await suspectQueue.enter()
     try {
@@ -135,14 +143,14 @@
     if (admittance.type === 'shed') {
       metrics.count(`shed_total{reason="${admittance.reason}",priority="${priority}"}`)
       const isTooLate = admittance.reason === 'too-late'
-      return isTooLate
-        ? createRefusal(call, fail('deadline', { stage: 'while the request waited' }), false)
-        : createRefusal(call, fail('overloaded', { service, reason: admittance.reason }), true)
+      const failure = isTooLate ? fail('deadline', { stage: 'while the request waited' }) : fail('overloaded', { service, reason: admittance.reason })
+      decisions.shed(call, failure, admittance.reason, arrivedAt)
+      return createRefusal(call, failure, !isTooLate)
     }
     const refusal = call.cancellation.cancelled ? { failure: fail('deadline', { stage: 'while the request waited' }), elsewhere: false } : findRefusal(call)
     if (refusal !== undefined) {
       gate.exit(undefined)
-      return createRefusal(call, refusal.failure, refusal.elsewhere)
+      return refuse(call, refusal)
     }
     return call.context.needsClaim ? await claimAndRun(call, sink) : await run(call, sink, undefined)
   }
@@ -156,10 +164,11 @@
       if (refusal === undefined) return await run(call, sink, claimed.claim)
       claims.release(claimed.claim)
       target.gate.exit(undefined)
-      return createRefusal(call, refusal.failure, refusal.elsewhere)
+      return refuse(call, refusal)
     }
     target.gate.exit(undefined)
     metrics.count(`claims_refused_total{reason="${claimed.type}"}`)
+    decisions.refuseClaim(call, claimed)
     switch (claimed.type) {
       case 'done': return claimed.answer === undefined ? createFailure(call, fail('answerNotKept', { status: claimed.status }), false) : replay(call, claimed.answer, sink)
       case 'running': return createFailure(call, fail('stillRunning'), false)
@@ -204,7 +213,7 @@
       closeRun(sample)
       resolve(outcome)
     }
-    if (pool === undefined) return finishRun(createRefusal(call, fail('noTarget', { service: call.context.service }), true), undefined)
+    if (pool === undefined) return finishRun(refuse(call, { failure: fail('noTarget', { service: call.context.service }), elsewhere: true }), undefined)
     sendExchange(pool, {
       origin: target.origin(),
       method: call.method,
@@ -251,6 +260,7 @@
         })
       },
       error (error) {
+        decisions.recordTargetFailure(call, { error, instance, startedAt })
         void handleExchangeError(call, sink, claim, span, error).then(({ outcome, sample }) => finishRun(outcome, sample))
       }
     })
@@ -261,7 +271,9 @@
     if (claim !== undefined) claims.release(claim)
     if (status === misdirectedStatus) target.markReplaced(instance)
     target.gate.recordRefusal(call.context.priority)
-    return createRefusal(call, fail('notExecuted', { status }), true, true)
+    const failure = fail('notExecuted', { status })
+    decisions.recordTargetRefusal(call, failure, status, instance)
+    return createRefusal(call, failure, true, true)
   }
 
   /** Stores an answer for retries. It is passed on after that, so that the loss of this node leaves no caller with an answer whose retry finds none. */
--- a/src/core/rate/buckets.ts
+++ b/src/core/rate/buckets.ts
@@ -1,5 +1,5 @@
 import { demandShiftRatio, demandWindowMs, minDemand, slowDemandWindowMs, tokenTtlMs } from './constants.ts'
-import type { Demand, Grant } from './types.ts'
+import type { Demand, Grant, Share } from './types.ts'
 
 interface Bucket {
   generation: string
@@ -53,6 +53,13 @@
   bucket.arrivalsAt = now
 }
 
+/** Returns what the node may still admit of a workspace. */
+export function shareOfBucket (buckets: Buckets, workspace: string, now: number): Share {
+  const bucket = bucketOf(buckets, workspace, now)
+  refill(bucket, now)
+  return { share: bucket.rate, left: Math.floor(bucket.tokens) }
+}
+
 /** Counts an arrival and takes a token for it. Without a token, the request counts as waiting until `removeWaitingRequest` or a grant. */
 export function takeToken (buckets: Buckets, workspace: string, now: number): boolean {
   const bucket = bucketOf(buckets, workspace, now)
--- a/src/core/rate/client.ts
+++ b/src/core/rate/client.ts
@@ -4,6 +4,7 @@
 import type { EncodedGrants } from './codec.ts'
 import { startLending } from './lending.ts'
 import type { AnyDemand, AnyGrant, Meter } from './meters.ts'
+import type { Share } from './types.ts'
 
 const reportTimeouts = { retryMs: 90, timeoutMs: 300 }
 const waitingCheckMs = 15
@@ -19,12 +20,21 @@
   until: number
 }
 
+/** State of one workspace at this node, as it decides on the next request. */
+export interface RateState extends Share {
+  /** Requests that wait for a token. */
+  waiting: number
+  /** Time since the oldest report that no leader has answered, in ms; 0 when all were answered. */
+  unansweredMs: number
+}
+
 /** Admits requests within the rate limits of their workspaces. */
 export interface RateClient {
   /** Returns whether the request is within the rate. May wait up to `leaderlessWaitMs` for a token. */
   admit: (workspace: string) => Admission | Promise<Admission>
   /** Uncounts a request that was counted at `admittedAt` and refused before it ran. A borrowed one cannot be uncounted. */
   refundRequest: (workspace: string, admittedAt: number) => void
+  state: (workspace: string) => RateState
   /** Stops reporting and returns the held allowances to the leader. No request may be admitted afterwards. */
   close: () => void
 }
@@ -137,6 +147,10 @@
       reportIfDue()
       return admitted
     },
+    state (workspace) {
+      const now = clock.now()
+      return { ...meter.share(workspace, now), waiting: waiters.get(workspace)?.length ?? 0, unansweredMs: Math.round(now - (unansweredSince ?? now)) }
+    },
     refundRequest: (workspace, admittedAt) => meter.refund(workspace, admittedAt, clock.now()),
     close () {
       closed = true
--- a/src/core/rate/meters.ts
+++ b/src/core/rate/meters.ts
@@ -1,7 +1,7 @@
-import { acceptGrant, createBuckets, collectDemands, removeWaitingRequest, takeToken, takeTokensForWaiting } from './buckets.ts'
-import type { Demand, Grant, WindowDemand, WindowGrant } from './types.ts'
+import { acceptGrant, createBuckets, collectDemands, shareOfBucket, removeWaitingRequest, takeToken, takeTokensForWaiting } from './buckets.ts'
+import type { Demand, Grant, Share, WindowDemand, WindowGrant } from './types.ts'
 import {
-  acceptWindowGrant, createWindowMeter, refundToWindow, removeWaitingInWindow, admitBorrowedInWindow, admitWaitingInWindow, admitInWindow, collectWindowDemands, lendFromWindow
+  acceptWindowGrant, createWindowMeter, refundToWindow, removeWaitingInWindow, admitBorrowedInWindow, admitWaitingInWindow, admitInWindow, collectWindowDemands, lendFromWindow, shareOfWindow
 } from './window-meter.ts'
 
 /** Grant of either kind of limit, sent in answer to a report. */
@@ -28,6 +28,8 @@
   accept: (grant: AnyGrant, sentAt: number, now: number) => number
   /** Returns the demands that are due for a report to the leader; with `all`, those of all workspaces. */
   demands: (now: number, all: boolean) => AnyDemand[]
+  /** Returns what this node may still admit. */
+  share: (workspace: string, now: number) => Share
 }
 
 /**
@@ -45,7 +47,8 @@
     removeWaiting: (workspace, now) => removeWaitingRequest(buckets, workspace, now),
     refund () {},
     accept: (grant, sentAt, now) => 'rate' in grant ? acceptGrant(buckets, grant, sentAt, now) : 0,
-    demands: (now) => collectDemands(buckets, now)
+    demands: (now) => collectDemands(buckets, now),
+    share: (workspace, now) => shareOfBucket(buckets, workspace, now)
   }
 }
 
@@ -60,7 +63,8 @@
     removeWaiting: (workspace, now) => removeWaitingInWindow(meter, workspace, now),
     refund: (workspace, admittedAt, now) => refundToWindow(meter, workspace, admittedAt, now),
     accept: (grant, sentAt, now) => 'allowance' in grant ? acceptWindowGrant(meter, grant, sentAt, now) : 0,
-    demands: (now, all) => collectWindowDemands(meter, now, all)
+    demands: (now, all) => collectWindowDemands(meter, now, all),
+    share: (workspace, now) => shareOfWindow(meter, workspace, now)
   }
 }
 
--- a/src/core/rate/types.ts
+++ b/src/core/rate/types.ts
@@ -29,6 +29,14 @@
   held?: { generation: string, sequence: number, rate: number, burst: number }
 }
 
+/** What one node may still admit of a workspace. */
+export interface Share {
+  /** Leased share of the rate: requests per second, or requests in any window. 0 when the node holds no lease. */
+  share: number
+  /** Requests that may be admitted at once. */
+  left: number
+}
+
 /** Rate and burst of one workspace. */
 export interface Limit {
   rate: number
--- a/src/core/rate/window-meter.ts
+++ b/src/core/rate/window-meter.ts
@@ -1,5 +1,5 @@
 import { borrowTtlMs, calmReportIntervalMs, idleReportIntervalMs, immediateFraction, minArrivalsForRate, minRateFraction, scarceFraction, sliceCount, tokenTtlMs } from './constants.ts'
-import type { WindowDemand, WindowGrant } from './types.ts'
+import type { Share, WindowDemand, WindowGrant } from './types.ts'
 
 /** Admissions or arrivals of the last window, counted in slices. The count of a slice leaves the window all at once. */
 interface WindowCount {
@@ -137,6 +137,12 @@
   account.tokens -= count
 }
 
+/** Returns what the node may still admit of a workspace. */
+export function shareOfWindow (meter: WindowMeter, workspace: string, now: number): Share {
+  const account = accountOf(meter, workspace, now)
+  return { share: account.allowance, left: admissibleCount(account) }
+}
+
 /** Counts an arrival and admits it if the allowance permits. Otherwise the request counts as waiting until `removeWaitingInWindow` or a grant. */
 export function admitInWindow (meter: WindowMeter, workspace: string, now: number): boolean {
   const account = accountOf(meter, workspace, now)
--- a/test/log/request-log.test.ts
+++ b/test/log/request-log.test.ts
@@ -6,7 +6,7 @@
 import { createMetrics } from '../../src/core/metrics/index.ts'
 
 const refusal: EventFields<'requestRefused'> = {
-  code: 'over_rate', reason: 'workspace w is over its rate', method: 'GET', host: 'h', route: 'r', workspace: 'w', status: 429, rate: 1, burst: 1, revision: 7, elapsedMs: 0
+  code: 'over_rate', reason: 'workspace w is over its rate', method: 'GET', host: 'h', route: 'r', workspace: 'w', status: 429, limit: { rate: 1, burst: 1 }, rateState: null, revision: 7, elapsedMs: 0
 }
 
 interface Line {
@@ -37,7 +37,7 @@
   const total = perSecond * 10
   for (let index = 0; index < total; index++) {
     time.now = index * 1000 / perSecond
-    requestLog.write('requestRefused', { id: `id-${index}`, chain: null }, { ...refusal, reason })
+    requestLog.write('requestRefused', () => ({ id: `id-${index}`, chain: null, ...refusal, reason }))
   }
   assert.equal(lines.length + metrics.value('log_lines_dropped_total{event="request_refused"}'), total, 'each line is written or counted')
   return { lines: lines.length, bytes: bytes.written }
@@ -62,8 +62,8 @@
 
 test('a flood of one kind leaves the lines of another, and says how many it lost', async () => {
   const { requestLog, lines } = createLoggedRequests()
-  for (let index = 0; index < 1000; index++) requestLog.write('requestRefused', { id: `id-${index}`, chain: null }, refusal)
-  requestLog.write('requestAbandoned', { id: 'other', chain: null }, { method: 'GET' })
+  for (let index = 0; index < 1000; index++) requestLog.write('requestRefused', () => ({ id: `id-${index}`, chain: null, ...refusal }))
+  requestLog.write('requestAbandoned', () => ({ id: 'other', chain: null, method: 'GET' }))
   assert.equal(lines.at(-1)?.details.id, 'other')
   await pause(1200)
   const { event, of, lines: dropped, node } = lines.at(-1)?.details ?? {}
--- a/test/node/attempts.test.ts
+++ b/test/node/attempts.test.ts
@@ -14,6 +14,7 @@
 import type { Peers } from '../../src/core/peers/index.ts'
 import { createRandom } from '../../src/core/random/index.ts'
 import { createBudget } from '../../src/core/retries/index.ts'
+import { createSilentDecisions } from './silent-decisions.ts'
 
 const refused: AttemptOutcome = { type: 'refused', failure: fail('notExecuted', { status: 503 }), elsewhere: true, arrived: true, report: emptyReport }
 const failed: AttemptOutcome = { type: 'failed', failure: fail('brokenAnswer', { reason: 'closed' }), crashed: false, report: emptyReport }
@@ -34,7 +35,7 @@
   const members = Object.keys(outcomesOf).map(member)
   const peers = { self: () => member('entry'), members: () => members, reportUnreachable () {} } as unknown as Peers
   const environment = { clock: systemClock, random: createRandom(1), log: silentLog, metrics: createMetrics() }
-  const sender = createCallSender(peers, {} as CallServer, { forward } as unknown as Forwarder, Infinity, createReportedFractions(), environment)
+  const sender = createCallSender(peers, {} as CallServer, { forward } as unknown as Forwarder, Infinity, createReportedFractions(), createSilentDecisions(), environment)
   const context = { service: 's', route: 'r', template: 't', workspace: null, priority: 2, depth: 0, idempotent, suspect: false }
   const call = { context, deadlineAt: systemClock.now() + 1000, cancellation: createCancellation() } as unknown as Call
   const budget = createBudget(5)
--- a/test/node/raw-path.ts
+++ b/test/node/raw-path.ts
@@ -30,6 +30,7 @@
 import { createTraffic } from '../../src/core/peers/index.ts'
 import type { Peers } from '../../src/core/peers/index.ts'
 import { createRandom } from '../../src/core/random/index.ts'
+import { createSilentDecisions } from './silent-decisions.ts'
 
 const timeoutMs = 3000
 
@@ -137,6 +138,7 @@
     spans: createSpans(),
     dependencies: createDependencies(clock),
     reportedFractions: createReportedFractions(),
+    decisions: createSilentDecisions(dialect),
     environment
   })
   const sessions = servePeerCalls(peers, server, () => {}, environment)
--- a/test/node/serve.test.ts
+++ b/test/node/serve.test.ts
@@ -11,8 +11,10 @@
 import { systemClock } from '../../src/core/clock/index.ts'
 import { emptyConfiguration } from '../../src/core/config/index.ts'
 import { createFreshness } from '../../src/core/freshness/index.ts'
-import { silentLog } from '../../src/core/log/index.ts'
+import { createRequestLog, silentLog } from '../../src/core/log/index.ts'
+import type { Log } from '../../src/core/log/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
+import { createDecisions } from '../../src/core/node/decisions.ts'
 import { createDependencies } from '../../src/core/node/dependencies.ts'
 import { createConnector } from '../../src/core/http/index.ts'
 import { defaultDialect } from '../../src/core/node/dialect.ts'
@@ -25,6 +27,7 @@
 import type { AttemptOutcome, Call, CallContext, Sink } from '../../src/core/node/types.ts'
 import type { Peers } from '../../src/core/peers/index.ts'
 import { createRandom } from '../../src/core/random/index.ts'
+import type { RateClient } from '../../src/core/rate/client.ts'
 
 const timeoutMs = 300
 
@@ -104,7 +107,7 @@
 
 /** Creates a call server for a raw target, with fakes for the rest of the node. */
 async function withTarget (
-  answer: Answer, use: (serve: Serve, connections: readonly Socket[]) => Promise<void>, dialect: Dialect = defaultDialect, claims: Partial<ClaimClient> = {}
+  answer: Answer, use: (serve: Serve, connections: readonly Socket[]) => Promise<void>, dialect: Dialect = defaultDialect, claims: Partial<ClaimClient> = {}, log: Log = silentLog
 ): Promise<void> {
   const raw = await startRaw(answer)
   const { port } = raw.address() as AddressInfo
@@ -128,9 +131,11 @@
     markReplaced () {}
   } as unknown as OwnTarget
   const peers = { freshness: createFreshness(), configuration: emptyConfiguration } as unknown as Peers
-  const environment = { clock: systemClock, random: createRandom(1), log: silentLog, metrics: createMetrics() }
+  const environment = { clock: systemClock, random: createRandom(1), log, metrics: createMetrics() }
+  const requestLog = createRequestLog('n', log, environment.metrics, systemClock)
+  const decisions = createDecisions({ requestLog, dialect, target, clock: systemClock, directory: { limitOf: () => undefined }, rates: {} as RateClient, revision: () => 1 })
   const crashes = { recordCompletion () {}, checkForCrash: async () => false }
-  const server = createCallServer({ dependencies: createDependencies(systemClock), reportedFractions: createReportedFractions(), dialect, findKeyFailure: () => undefined, mayBegin: () => true, peers, target, claims: claims as ClaimClient, crashes, spans: createSpans(), environment })
+  const server = createCallServer({ dependencies: createDependencies(systemClock), reportedFractions: createReportedFractions(), dialect, findKeyFailure: () => undefined, mayBegin: () => true, peers, target, claims: claims as ClaimClient, crashes, spans: createSpans(), decisions, environment })
   try {
     await use(async (id, context = {}, received = createReceived()) => {
       const call = createCall(id)
--- a/test/platform/cut-calls.test.ts
+++ b/test/platform/cut-calls.test.ts
@@ -7,7 +7,11 @@
 import { createOperatorServer } from '../../platform/operator.ts'
 import type { SidecarSettings } from '../../platform/settings.ts'
 import type { Control } from '../../src/core/control/index.ts'
+import { systemClock } from '../../src/core/clock/index.ts'
+import { silentLog } from '../../src/core/log/index.ts'
+import { createMetrics } from '../../src/core/metrics/index.ts'
 import type { Node } from '../../src/core/node/index.ts'
+import { createRandom } from '../../src/core/random/index.ts'
 
 const pause = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms))
 
@@ -53,9 +57,11 @@
   }
 }
 
+const environment = { clock: systemClock, random: createRandom(1), log: silentLog, metrics: createMetrics() }
+
 function createInstances (done: string[]): Server {
   const record = (name: string) => () => done.push(name) > 0
-  return createInstanceServer({ announce: record('announce'), withdraw: record('withdraw') } as unknown as Node, settings, () => {})
+  return createInstanceServer({ announce: record('announce'), withdraw: record('withdraw') } as unknown as Node, settings, environment)
 }
 
 function createOperator (done: string[]): Server {
--- a/test/platform/machines.ts
+++ b/test/platform/machines.ts
@@ -23,6 +23,8 @@
 
 /** Cores and sidecars as processes on loopback addresses; the test acts as the platform. */
 export interface Machines {
+  /** Port of the sidecars for callers. */
+  outboundPort: number
   startCore: (number: number, bootstrap: boolean) => void
   startSidecar: (number: number, service: string) => Promise<AppServer>
   /** Starts a sidecar again after its process has ended; its server kept running. */
@@ -42,6 +44,10 @@
   isRunning: (name: string) => boolean
   readyStatus: (sidecar: number) => Promise<number>
   logOf: (name: string) => string
+  /** Stops reading the log of a process, whose pipe then fills. */
+  pauseLog: (name: string) => void
+  /** Closes the reading end of the log of a process. */
+  closeLog: (name: string) => void
   stop: () => Promise<void>
 }
 
@@ -140,6 +146,7 @@
     return sendCall(`http://${sidecarIp(sidecar)}:${outbound}${path}`, { method: 'GET', headers, dispatcher, headersTimeout: patienceMs, bodyTimeout: patienceMs })
   }
   return {
+    outboundPort: outbound,
     startCore (number, bootstrap) {
       const dataFolder = join(folder, `data-${number}`)
       mkdirSync(dataFolder, { recursive: true })
@@ -167,6 +174,8 @@
     isRunning: (name) => children.get(name)?.child.exitCode === null && children.get(name)?.child.signalCode === null,
     readyStatus: async (sidecar) => (await sendCall(`http://${sidecarIp(sidecar)}:${ready}/-/ready`, { method: 'GET' })).status,
     logOf: (name) => children.get(name)?.log.join('') ?? '',
+    pauseLog: (name) => void children.get(name)?.child.stderr?.pause(),
+    closeLog: (name) => void children.get(name)?.child.stderr?.destroy(),
     async stop () {
       for (const { child } of children.values()) child.kill('SIGKILL')
       await Promise.all([...children.values()].map(({ ended }) => ended))
