dogwoodspring explain shows the way of one request and what ended it

Missing: the lines about one request lie in the logs of several processes, in different order, beside those of others, and a reader had to know which one states the cause.

Change: "dogwoodspring explain ID" reads files or standard input line by line, collects the lines with the id, its chain or attempt, and prints a timeline, the decision that led to the end (the last one with the code of the end), and how the caller's request ended. Calls that a target makes without passing the id on are found by their chain. It says which lines were dropped near the time of the request, and counts what it skipped: cut lines, other formats.

It works with bounded memory because only lines of the request, reports of dropped lines and a limited number of lines without a caller's id are kept.

--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -4,6 +4,7 @@
 import { BenchCommand } from './bench/index.ts'
 import { ConfigCheckCommand } from './config/index.ts'
 import { ControlCommand } from './control/index.ts'
+import { ExplainCommand } from './explain/index.ts'
 import { KeyGiveCommand, KeyListCommand, KeyWithdrawCommand } from './key/index.ts'
 import { MemberAddCommand, MemberListCommand, MemberRemoveCommand } from './member/index.ts'
 import { NodeCommand } from './node/index.ts'
@@ -22,6 +23,6 @@
   OperatorGiveCommand, OperatorWithdrawCommand, OperatorListCommand,
   QuarantineListCommand, QuarantineReleaseCommand,
   MemberAddCommand, MemberRemoveCommand, MemberListCommand,
-  StatusCommand, AuditCommand, AuditVerifyCommand, ConfigCheckCommand, BenchCommand,
+  StatusCommand, AuditCommand, AuditVerifyCommand, ExplainCommand, ConfigCheckCommand, BenchCommand,
   Builtins.HelpCommand, Builtins.VersionCommand
 ]
--- a/src/core/node/decisions.ts
+++ b/src/core/node/decisions.ts
@@ -103,7 +103,7 @@
   return outcome.type === 'broken' ? { code: 'broken_off', reason: 'the answer had begun and broke off' } : causeOf(outcome.failure)
 }
 
-/** Returns the status that the caller gets; null when its connection ends instead. */
+/** Returns the status of the answer, or of the failure in the error catalogue; null when the connection ends instead. */
 function statusOf (outcome: AttemptOutcome): number | null {
   if (outcome.type === 'answered') return outcome.status
   return outcome.type === 'broken' ? null : outcome.failure.status
--- a/test/platform/request-log.test.ts
+++ b/test/platform/request-log.test.ts
@@ -2,6 +2,7 @@
 import { request as httpRequest } from 'node:http'
 import { test } from 'node:test'
 import { setTimeout as pause } from 'node:timers/promises'
+import { createCollector, renderFindings } from '../../src/core/explain/index.ts'
 import { configuration, createMachines, eventually } from './machines.ts'
 import type { AppServer, Machines, Reply } from './machines.ts'
 
@@ -65,6 +66,13 @@
   assert.equal(found.node, name)
 }
 
+/** Explains a request from the logs of both sidecars. */
+function explain (machines: Machines, id: string): string {
+  const collector = createCollector(id)
+  for (const name of [caller, callee]) for (const line of machines.logOf(name).split('\n')) collector.add(line, name)
+  return renderFindings(collector.findings())
+}
+
 const endEvents = ['request_refused', 'request_ended']
 
 test('each request without a good answer has a line with its id, the decision and its inputs', () => withMesh(async ({ machines, server, send }) => {
@@ -129,6 +137,12 @@
   const sheds = linesOf(machines, callee).filter(({ event }) => event === 'call_shed')
   assert.ok(sheds.length > 0 && sheds.every(({ id, limit, waitedMs, shedReason }) => answers.get(id ?? '') !== 200 && limit === 4 && Number(waitedMs) >= 0 && shedReason))
   assert.equal(linesOf(machines, caller).filter(({ event }) => event === 'request_answered').length, 1, 'of good answers the first and then one of 500 are logged')
+  const turned = explain(machines, 'turned')
+  assert.match(turned, /^Decided by: target_refused at sidecar-2/m)
+  assert.match(turned, /^End: refused, status 503, at sidecar-1/m)
+  assert.match(explain(machines, 'late'), /^Decided by: target_failed at sidecar-2.*cause=timeout/m)
+  const shedId = sheds.find(({ id }) => answers.has(id ?? ''))?.id ?? ''
+  assert.match(explain(machines, shedId), /^Decided by: call_shed at sidecar-2.*limit=4/m)
   for (const name of [caller, callee]) assert.doesNotMatch(machines.logOf(name), /slow-key|\/q\/secret/)
 }))
 
