Tests of the decisions that no loopback run reaches

Missing: refusals by the node of a target, by claims and before an attempt, withheld keys and shortened texts were logged without a test.

No code is changed.

It works because the decisions take their log, clock and state as arguments, so that a test reads the very lines that a node writes.

--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -141,8 +141,8 @@
       }
       serve().catch((error: Error) => {
         logUnexpectedError(error)
-          decisions.crash(request, error)
-          abortResponse(response)
+        decisions.crash(request, error)
+        abortResponse(response)
       })
     })
   }
--- a/test/node/serve.test.ts
+++ b/test/node/serve.test.ts
@@ -11,7 +11,7 @@
 import { systemClock } from '../../src/core/clock/index.ts'
 import { emptyConfiguration } from '../../src/core/config/index.ts'
 import { createFreshness } from '../../src/core/freshness/index.ts'
-import { createRequestLog, silentLog } from '../../src/core/log/index.ts'
+import { createLog, createRequestLog, silentLog } from '../../src/core/log/index.ts'
 import type { Log } from '../../src/core/log/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
 import { createDecisions } from '../../src/core/node/decisions.ts'
@@ -547,3 +547,19 @@
     }, refusing)
   })
 }
+
+test('call refused by the node of a target and refused claim leave lines with the id', async () => {
+  const lines: Array<Record<string, unknown>> = []
+  const log = createLog(true, { write: (line) => void lines.push((JSON.parse(line) as { details: Record<string, unknown> }).details), finish () {} })
+  const claims: Partial<ClaimClient> = { acquire: async () => ({ type: 'key-reused' }) }
+  await withTarget((_, socket) => socket.write(completeAnswer('x')), async (serve) => {
+    await serve('elsewhere', { service: 'other' })
+    await serve('reused', needsClaim)
+    await serve('good')
+  }, defaultDialect, claims, log)
+  const seen = lines.map(({ id, event, code, targetService, claim }) => ({ id, event, code, targetService, claim }))
+  assert.deepEqual(seen, [
+    { id: 'elsewhere', event: 'call_refused', code: 'no_target', targetService: 's', claim: undefined },
+    { id: 'reused', event: 'claim_refused', code: undefined, targetService: undefined, claim: 'key-reused' }
+  ])
+})
