An answer that comes after its request was given up no longer ends the node

Callers saw all that a stopping node was sending break off: its process ended with an uncaught ERR_HTTP_HEADERS_SENT. Cause: since requests that a stop gives up get a final answer, an answer that arrives later over another node wrote a second head; and the call was not cancelled, as its response had closed as finished. The sink of a response drops an answer when the head of a refusal was sent, and the call of a request that was refused in its place is cancelled, so that no further attempt begins.

--- a/src/core/node/entry.ts
+++ b/src/core/node/entry.ts
@@ -106,13 +106,14 @@
   if (inProgress) context.dependencies.recordCall(calleeKey(call.context))
   if (response.destroyed) call.cancellation.cancel()
   const ended: { end?: RequestEnd } = {}
+  const sink = createResponseSink(response)
   response.once('close', () => {
-    if (response.writableFinished) return
+    if (response.writableFinished && sink.started()) return
     call.cancellation.cancel()
-    if (ended.end !== undefined) decisions.recordUndelivered(call, ended.end)
+    if (!response.writableFinished && ended.end !== undefined) decisions.recordUndelivered(call, ended.end)
   })
   const budget = createBudget(call.context.budget)
-  const outcome = await context.callSender.send(call, budget, createResponseSink(response))
+  const outcome = await context.callSender.send(call, budget, sink)
   if (outcome.type === 'refused') refundRate(arrival, context)
   metrics.time('call', clock.now() - arrivedAt)
   metrics.count(`calls_total{outcome="${outcome.type}"}`)
--- a/src/core/node/outgoing.ts
+++ b/src/core/node/outgoing.ts
@@ -106,12 +106,13 @@
   const outgoingCall = createOutgoingCall(request, span, body.value, context)
   if ('ok' in outgoingCall) return refuse(outgoingCall)
   const stopListening = span.cancellation.listen(() => outgoingCall.cancellation.cancel())
+  const sink = createResponseSink(response)
   response.once('close', () => {
-    if (!response.writableFinished) outgoingCall.cancellation.cancel()
+    if (!response.writableFinished || !sink.started()) outgoingCall.cancellation.cancel()
   })
   context.dependencies.recordCall(calleeKey(outgoingCall.context))
   recordOutgoingStart(span, clock.now())
-  const outcome = await context.callSender.send(outgoingCall, span.budget, createResponseSink(response))
+  const outcome = await context.callSender.send(outgoingCall, span.budget, sink)
   recordOutgoingEnd(span, clock.now())
   stopListening()
   if (outcome.report.shed) span.shed = true
--- a/src/core/node/sinks.ts
+++ b/src/core/node/sinks.ts
@@ -12,16 +12,17 @@
   response.destroy()
 }
 
-/** Creates a sink that writes an answer to the response of a caller. */
+/** Creates a sink that writes an answer to the response of a caller. An answer that comes after the request was refused is dropped. */
 export function createResponseSink (response: ServerResponse): Sink {
   let started = false
   return {
     started: () => started,
     head (status, headers) {
+      if (response.headersSent) return
       started = true
       response.writeHead(status, headers)
     },
-    write: (chunk) => response.destroyed || response.write(chunk),
+    write: (chunk) => !started || response.destroyed || response.write(chunk),
     onDrain (listener) {
       const endWait = () => {
         response.off('drain', endWait)
@@ -31,8 +32,8 @@
       response.on('drain', endWait)
       response.on('close', endWait)
     },
-    end: () => void response.end(),
-    abort: () => abortResponse(response)
+    end: () => void (started && response.end()),
+    abort: () => started && abortResponse(response)
   }
 }
 
