What is read after a stop has ended early is not begun

Callers got no answer, and callers at sound nodes a 504, for requests that a node read after its stop had ended early because nothing ran. Cause: the rule of a stop still used the time at which it would have ended at the latest, and connections that have sent nothing yet outlive the listener for 200 ms, since they do not count as idle. When the wait ends, the stop now ends: nothing more is begun, which is answered as not run.

--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -36,7 +36,7 @@
 import { createCallServer } from './serve.ts'
 import { abortResponse } from './sinks.ts'
 import { createSpans } from './spans.ts'
-import { beginsDuring } from './stop.ts'
+import { beginsDuring, endStop } from './stop.ts'
 import type { Stop, StoppingRequest } from './stop.ts'
 import { createOwnTarget } from './target.ts'
 
@@ -225,6 +225,7 @@
       await pause(Math.min(servesUntil, endsAt) - clock.now())
       callerServer.closeIdleConnections()
       await waitUntilIdle(endsAt)
+      stop = endStop(stop, clock.now())
       giveUpRunning(startedAt)
       await waitForHandover()
       await closeServer(callerServer)
--- a/src/core/node/stop.ts
+++ b/src/core/node/stop.ts
@@ -10,6 +10,12 @@
   endsAt: number
 }
 
+/** Ends a stop before its time, when nothing runs any more. What is read while connections are closed is not begun. */
+export function endStop (stop: Stop, now: number): Stop {
+  const endsAt = Math.min(stop.endsAt, now)
+  return { ...stop, servesUntil: Math.min(stop.servesUntil, endsAt), endsAt }
+}
+
 /** Properties of a request that decide whether a stopping node begins it. */
 export interface StoppingRequest {
   /** Time within which the request certainly ends, in ms. */
