A stop no longer cuts answers that their callers read slowly

Callers that read an answer slowly lost its end 2.6 s after SIGTERM. Found by a review; the test of slow readers in test/platform/stop-end.test.ts failed before and passes. Idle connections stay open until the end of the stop, when nothing runs; what comes on them is refused or served by the rule of the stop.

--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -223,7 +223,6 @@
       target.leave()
       peers.prepareLeave()
       await pause(Math.min(servesUntil, endsAt) - clock.now())
-      callerServer.closeIdleConnections()
       await waitUntilIdle(endsAt)
       stop = endStop(stop, clock.now())
       giveUpRunning(startedAt)
