An answer cut by a stop does not look whole to a caller of HTTP/1.0

Such callers saw a 200 with a short body, framed as whole: a stop closed their connection, which is the only end that their answers have. An answer that is under way when a stop gives its request up is now aborted, which resets the connections of callers that know no chunks. Found by a review; the test in test/platform/stop-end.test.ts failed before and passes.

--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -133,7 +133,7 @@
   /** Counts a request as running until its response is closed; a stop waits for running requests. Begins it unless its client has left by then. */
   const trackResponse = (request: IncomingMessage, response: ServerResponse, serve: () => Promise<void>) => {
     const id = request.headers[dialect.requestIdHeader]?.toString()
-    response.once('close', running.begin({ id, source: 'caller', giveUp: () => refusals.refuseGivenUp(response) }))
+    response.once('close', running.begin({ id, source: 'caller', giveUp: () => response.headersSent ? abortResponse(response) : refusals.refuseGivenUp(response) }))
     backlog.run(() => {
       if (hasLeft(request, response)) {
         metrics.count('requests_abandoned_total')
