A node that has returned its allowances lends nothing

Workspaces could get more than their rate: a node that stops returns its allowances to the leader and answered requests for loans from them until its datagrams closed. Found by a review; test/rate/closed-client.test.ts failed before (lent 10) and passes. A closed client lends nothing, and requests that still wait for a token are refused in place of being left without an answer. Tests of orders at control instances that stop are added (test/platform/core-stop.test.ts); they pass on the code before, too.

--- a/src/core/rate/client.ts
+++ b/src/core/rate/client.ts
@@ -64,7 +64,8 @@
   }
   const borrow = startLending(peers, meter, {
     counts: () => [...waiters].map(([workspace, queue]) => [workspace, queue.length]),
-    admitBorrowed: (workspace, count) => admitWaiters(workspace, meter.admitBorrowed(workspace, count, clock.now()), 'borrowed')
+    admitBorrowed: (workspace, count) => admitWaiters(workspace, meter.admitBorrowed(workspace, count, clock.now()), 'borrowed'),
+    isClosed: () => closed
   }, environment)
   const reportDemands = async () => {
     const sentAt = clock.now()
@@ -155,6 +156,8 @@
     close () {
       closed = true
       clearTimeout(timer)
+      for (const queue of waiters.values()) for (const waiter of queue) waiter.admit('refused')
+      waiters.clear()
       const [leader] = peers.controlAddresses()
       if (leader !== undefined) peers.datagrams.notify(leader, 'rate.leave', { holder: peers.boot, demands: encodeDemands(meter.demands(clock.now(), true)) })
     }
--- a/src/core/rate/lending.ts
+++ b/src/core/rate/lending.ts
@@ -45,6 +45,8 @@
   counts: () => RequestCounts
   /** Admits up to `count` waiting requests of a workspace, which the lender counts. */
   admitBorrowed: (workspace: string, count: number) => void
+  /** Returns true once the allowances were returned to the leader, which may have granted them to others by now. */
+  isClosed: () => boolean
 }
 
 /**
@@ -54,7 +56,7 @@
 export function startLending (peers: Peers, meter: Meter, waiting: Waiting, { clock, metrics, random }: Environment): () => void {
   let isBorrowing = false
   let roundEndedAt = -Infinity
-  peers.datagrams.method('rate.borrow', (wanted: unknown): RequestCounts => lend(meter, wanted, clock.now()))
+  peers.datagrams.method('rate.borrow', (wanted: unknown): RequestCounts => waiting.isClosed() ? [] : lend(meter, wanted, clock.now()))
   const borrowFrom = async (lender: Member, wanted: RequestCounts) => {
     const askedAt = clock.now()
     const answer = await peers.datagrams.request(lender.address, 'rate.borrow', wanted, borrowTimeouts)
