A sidecar whose log pipe is full gives the same answers and stops in time

Missing: the former test only paused the reader of the log, whose pipe never filled at the volume of the log.

Change: the log of a sidecar goes to a pipe that was filled before and that nobody reads; the closed reader is a test of its own. No code is changed.

It works because the pipe is full before the process starts, so that each of its writes waits.

--- a/test/platform/machines.ts
+++ b/test/platform/machines.ts
@@ -26,7 +26,8 @@
   /** Port of the sidecars for callers. */
   outboundPort: number
   startCore: (number: number, bootstrap: boolean) => void
-  startSidecar: (number: number, service: string) => Promise<AppServer>
+  /** Starts a sidecar and the server beside it. Its log goes to the descriptor `log`, if there is one. */
+  startSidecar: (number: number, service: string, log?: number) => Promise<AppServer>
   /** Starts a sidecar again after its process has ended; its server kept running. */
   restartSidecar: (number: number, service: string) => void
   /** Sends a signal to a process and returns its exit code. */
@@ -44,8 +45,6 @@
   isRunning: (name: string) => boolean
   readyStatus: (sidecar: number) => Promise<number>
   logOf: (name: string) => string
-  /** Stops reading the log of a process, whose pipe then fills. */
-  pauseLog: (name: string) => void
   /** Closes the reading end of the log of a process. */
   closeLog: (name: string) => void
   stop: () => Promise<void>
@@ -95,7 +94,7 @@
   const servers: Server[] = []
   const coreIp = (number: number) => `127.0.1.${number}`
   const sidecarIp = (number: number) => `127.0.2.${number}`
-  const startProcess = (command: string, name: string, ip: string, changes: object) => {
+  const startProcess = (command: string, name: string, ip: string, changes: object, logDescriptor?: number) => {
     const path = join(folder, `${name}.json`)
     writeFileSync(path, JSON.stringify({
       name,
@@ -109,16 +108,16 @@
       ...changes
     }))
     const child = spawn(process.execPath, ['--import', 'tsx', program, command], {
-      env: { ...process.env, DOGWOODSPRING_BOOT: path, DOGWOODSPRING_CLUSTER_SECRET: secret }, stdio: ['ignore', 'ignore', 'pipe']
+      env: { ...process.env, DOGWOODSPRING_BOOT: path, DOGWOODSPRING_CLUSTER_SECRET: secret }, stdio: ['ignore', 'ignore', logDescriptor ?? 'pipe']
     })
     const log: string[] = []
-    child.stderr.on('data', (chunk) => log.push(String(chunk)))
+    child.stderr?.on('data', (chunk) => log.push(String(chunk)))
     const ended = new Promise<number | null>((resolve) => child.once('exit', (code) => resolve(code)))
     children.set(name, { child, ended, log })
   }
-  const startSidecarProcess = (number: number, service: string) => {
+  const startSidecarProcess = (number: number, service: string, logDescriptor?: number) => {
     const ip = sidecarIp(number)
-    startProcess('sidecar', `sidecar-${number}`, ip, { callerAddress: `${ip}:${outbound}`, readyAddress: `${ip}:${ready}`, service, serverAddress: `${ip}:${app}` })
+    startProcess('sidecar', `sidecar-${number}`, ip, { callerAddress: `${ip}:${outbound}`, readyAddress: `${ip}:${ready}`, service, serverAddress: `${ip}:${app}` }, logDescriptor)
   }
   const startAppServer = async (number: number, service: string): Promise<AppServer> => {
     const received: IncomingMessage[] = []
@@ -152,11 +151,11 @@
       mkdirSync(dataFolder, { recursive: true })
       startProcess('core', `core-${number}`, coreIp(number), { bootstrap, dataFolder })
     },
-    async startSidecar (number, service) {
-      startSidecarProcess(number, service)
+    async startSidecar (number, service, log) {
+      startSidecarProcess(number, service, log)
       return await startAppServer(number, service)
     },
-    restartSidecar: startSidecarProcess,
+    restartSidecar: (number, service) => startSidecarProcess(number, service),
     async kill (name, signal = 'SIGKILL') {
       const running = children.get(name)
       running?.child.kill(signal)
@@ -174,7 +173,6 @@
     isRunning: (name) => children.get(name)?.child.exitCode === null && children.get(name)?.child.signalCode === null,
     readyStatus: async (sidecar) => (await sendCall(`http://${sidecarIp(sidecar)}:${ready}/-/ready`, { method: 'GET' })).status,
     logOf: (name) => children.get(name)?.log.join('') ?? '',
-    pauseLog: (name) => void children.get(name)?.child.stderr?.pause(),
     closeLog: (name) => void children.get(name)?.child.stderr?.destroy(),
     async stop () {
       for (const { child } of children.values()) child.kill('SIGKILL')
--- a/test/platform/request-log.test.ts
+++ b/test/platform/request-log.test.ts
@@ -1,5 +1,9 @@
 import assert from 'node:assert/strict'
+import { execFileSync } from 'node:child_process'
+import { constants, mkdtempSync, openSync, rmSync, writeSync } from 'node:fs'
 import { request as httpRequest } from 'node:http'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
 import { test } from 'node:test'
 import { setTimeout as pause } from 'node:timers/promises'
 import { createCollector, renderFindings } from '../../src/core/explain/index.ts'
@@ -32,11 +36,11 @@
   return { ...document, tenants: [...document.tenants, { name: 'slow', apiKeys: ['slow-key'], ratePerS: 1, burst: 1 }] }
 }
 
-async function withMesh (use: (mesh: Mesh) => Promise<void>): Promise<void> {
+async function withMesh (use: (mesh: Mesh) => Promise<void>, callerLog?: number): Promise<void> {
   const machines = await createMachines()
   try {
     for (const number of [1, 2, 3]) machines.startCore(number, true)
-    const callerServer = await machines.startSidecar(1, 'other')
+    const callerServer = await machines.startSidecar(1, 'other', callerLog)
     const server = await machines.startSidecar(2, 'shop')
     await eventually(async () => await callerServer.sendHeartbeat('ready') === 200 && await server.sendHeartbeat('ready') === 200)
     await eventually(async () => (await machines.replaceConfiguration(1, '0', documentWithSlowWorkspace())).status === 200)
@@ -146,22 +150,49 @@
   for (const name of [caller, callee]) assert.doesNotMatch(machines.logOf(name), /slow-key|\/q\/secret/)
 }))
 
-test('a log whose reader is slow or gone changes no outcome, and a stop still ends in time', () => withMesh(async ({ machines, send }) => {
-  const countStatuses = async (prefix: string) => {
-    const counts: Record<number, number> = {}
-    for (let round = 0; round < 10; round++) {
-      const replies = await Promise.all(Array.from({ length: 60 }, (_, index) => send(`${prefix}-${round}-${index}`, index % 10 === 0 ? '/p/x' : '/q/')))
-      for (const { status } of replies) counts[status] = (counts[status] ?? 0) + 1
-    }
-    return counts
+/** Sends requests with good answers and refusals. Returns how often each status came. */
+async function countStatuses (send: Mesh['send'], prefix: string): Promise<Record<number, number>> {
+  const counts: Record<number, number> = {}
+  for (let round = 0; round < 10; round++) {
+    const replies = await Promise.all(Array.from({ length: 60 }, (_, index) => send(`${prefix}-${round}-${index}`, index % 10 === 0 ? '/p/x' : '/q/')))
+    for (const { status } of replies) counts[status] = (counts[status] ?? 0) + 1
   }
-  const expected = { 200: 60, 404: 540 }
-  assert.deepEqual(await countStatuses('read'), expected)
-  for (const name of [caller, callee]) machines.pauseLog(name)
-  assert.deepEqual(await countStatuses('slow'), expected)
-  for (const name of [caller, callee]) machines.closeLog(name)
-  assert.deepEqual(await countStatuses('gone'), expected)
+  return counts
+}
+
+async function assertStopsInTime (machines: Machines): Promise<void> {
   const stoppedAt = performance.now()
   assert.equal(await machines.kill(caller, 'SIGTERM'), 0)
   assert.ok(performance.now() - stoppedAt < 7000)
+}
+
+const expectedCounts = { 200: 60, 404: 540 }
+
+test('a log whose reader is gone changes no outcome, and a stop still ends in time', () => withMesh(async ({ machines, send }) => {
+  assert.deepEqual(await countStatuses(send, 'read'), expectedCounts)
+  for (const name of [caller, callee]) machines.closeLog(name)
+  assert.deepEqual(await countStatuses(send, 'gone'), expectedCounts)
+  await assertStopsInTime(machines)
 }))
+
+/** Opens a pipe that is full and that nobody reads. */
+function openFullPipe (folder: string): number {
+  const path = join(folder, 'log')
+  execFileSync('mkfifo', [path])
+  openSync(path, constants.O_RDONLY | constants.O_NONBLOCK)
+  const descriptor = openSync(path, constants.O_WRONLY | constants.O_NONBLOCK)
+  const fill = () => writeSync(descriptor, 'x'.repeat(4096))
+  assert.throws(() => {
+    while (fill() > 0);
+  }, { code: 'EAGAIN' })
+  return descriptor
+}
+
+test('a log that nobody reads changes no outcome, and a stop still ends in time', async () => {
+  const folder = mkdtempSync(join(tmpdir(), 'full-pipe-'))
+  await withMesh(async ({ machines, send }) => {
+    assert.deepEqual(await countStatuses(send, 'stalled'), expectedCounts)
+    await assertStopsInTime(machines)
+  }, openFullPipe(folder))
+  rmSync(folder, { recursive: true })
+})
