--- a/test/platform/machines.ts
+++ b/test/platform/machines.ts
@@ -3,7 +3,7 @@
 import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs'
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import { createServer as createTcpServer } from 'node:net'
+import { connect, createServer as createTcpServer } from 'node:net'
 import type { AddressInfo } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
@@ -43,6 +43,8 @@
   /** Port for traffic between processes, the same on all machines. */
   peerPort: number
   isRunning: (name: string) => boolean
+  /** Opens a connection of a caller that has sent nothing yet. Resolves undefined when the sidecar accepts none. */
+  connect: (sidecar: number) => Promise<OpenCaller | undefined>
   readyStatus: (sidecar: number) => Promise<number>
   logOf: (name: string) => string
   /** Closes the reading end of the log of a process. */
@@ -50,6 +52,12 @@
   stop: () => Promise<void>
 }
 
+/** A caller with an open connection. */
+export interface OpenCaller {
+  /** Sends a request and resolves, once the connection has closed, with all that was received. */
+  send: (path: string, requestId: string) => Promise<string>
+}
+
 /** The server beside a sidecar. */
 export interface AppServer {
   /** Requests that reached the server. */
@@ -144,6 +152,22 @@
     const patienceMs = Number(headers['x-dogwoodspring-deadline-ms']) + 1000
     return sendCall(`http://${sidecarIp(sidecar)}:${outbound}${path}`, { method: 'GET', headers, dispatcher, headersTimeout: patienceMs, bodyTimeout: patienceMs })
   }
+  const openConnection = (sidecar: number) => new Promise<OpenCaller | undefined>((resolve) => {
+    const socket = connect(outbound, sidecarIp(sidecar))
+    let received = ''
+    const closed = new Promise<string>((_resolve) => socket.once('close', () => _resolve(received)))
+    socket.on('data', (chunk) => {
+      received += chunk.toString('latin1')
+    })
+    socket.once('error', () => resolve(undefined))
+    socket.once('connect', () => resolve({
+      send (path, requestId) {
+        const fields = ['host: a.example', `x-dogwoodspring-request-id: ${requestId}`, 'x-dogwoodspring-deadline-ms: 4000', 'x-dogwoodspring-key: secret', 'connection: close']
+        if (socket.writable) socket.write([`GET ${path} HTTP/1.1`, ...fields, '', ''].join('\r\n'))
+        return closed
+      }
+    }))
+  })
   return {
     outboundPort: outbound,
     startCore (number, bootstrap) {
@@ -171,6 +195,7 @@
     sendHeartbeatText: (sidecar, id, body) => sendCall(`http://${sidecarIp(sidecar)}:${control}${callPath}?call=instances.heartbeat&of=${id}`, { method: 'POST', body }),
     peerPort: peer,
     isRunning: (name) => children.get(name)?.child.exitCode === null && children.get(name)?.child.signalCode === null,
+    connect: openConnection,
     readyStatus: async (sidecar) => (await sendCall(`http://${sidecarIp(sidecar)}:${ready}/-/ready`, { method: 'GET' })).status,
     logOf: (name) => children.get(name)?.log.join('') ?? '',
     closeLog: (name) => void children.get(name)?.child.stderr?.destroy(),
--- a/test/platform/path.test.ts
+++ b/test/platform/path.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import type { IncomingMessage } from 'node:http'
 import { test } from 'node:test'
+import { setTimeout as pause } from 'node:timers/promises'
 import { configuration, createMachines, eventually } from './machines.ts'
 import type { Machines } from './machines.ts'
 
@@ -90,6 +91,30 @@
   assert.ok(performance.now() - startedAt < 6000)
 }))
 
+test('a request on a connection that was opened before a stopping sidecar closes is not begun and then cut', () => withMachines(async (machines) => {
+  for (const number of [1, 2, 3]) machines.startCore(number, true)
+  const callerServer = await machines.startSidecar(1, 'other')
+  const calledServer = await machines.startSidecar(2, 'shop')
+  await eventually(async () => await callerServer.sendHeartbeat('ready') === 200 && await calledServer.sendHeartbeat('ready') === 200)
+  await replaceUntilAccepted(machines, 1, '0', configuration(3, 'shop'))
+  await eventually(async () => (await machines.send(1, '/p/x')).status === 200)
+  calledServer.respondWith((request, response) => {
+    const headers = { 'x-dogwoodspring-request-id': request.headers['x-dogwoodspring-request-id'] }
+    setTimeout(() => response.writeHead(200, headers).end('slow answer'), 600)
+  })
+  const ended = machines.kill('sidecar-1', 'SIGTERM')
+  const callers = []
+  for (let last = await machines.connect(1); last !== undefined; last = await machines.connect(1)) {
+    callers.push(last)
+    await pause(10)
+  }
+  const replies = await Promise.all(callers.map(async (caller, number) => ({ id: `late-${number}`, text: await caller.send('/p/x', `late-${number}`) })))
+  await ended
+  const begun = new Set(calledServer.received.map(({ headers }) => headers['x-dogwoodspring-request-id']))
+  const cut = replies.filter(({ id, text }) => begun.has(id) && !text.endsWith('slow answer'))
+  assert.deepEqual(cut, [], `${cut.length} of ${callers.length} requests reached a server and got no whole answer`)
+}))
+
 test('callers on the machine of a fully loaded server are refused in time and are not mistaken for the server', () => withMachines(async (machines) => {
   for (const number of [1, 2, 3]) machines.startCore(number, true)
   const server = await machines.startSidecar(1, 'shop')
