A forwarded call that a stop gives up is reported to its node at once

Callers at sound nodes learnt only when the process was gone that the node of their server had given their request up. A stop now reports each such call as unknown_outcome, so that its node can answer its caller or, if the request is idempotent, try elsewhere; an answer that comes later changes nothing.

--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -28,6 +28,7 @@
 import { createLocalHandler } from './local.ts'
 import { serveOutgoing } from './outgoing.ts'
 import { servePeerCalls } from './peer-calls.ts'
+import type { TrackCall } from './peer-calls.ts'
 import { createPipeline } from './pipeline.ts'
 import type { PipelineOptions } from './pipeline.ts'
 import { createRefusals } from './refusals.ts'
@@ -146,9 +147,9 @@
       })
     })
   }
-  const trackPeerCall = (headers: readonly string[], work: Promise<void>) => {
+  const trackPeerCall: TrackCall = (headers, work, giveUp) => {
     const id = headerOf(headers, dialect.requestIdHeader)
-    void work.catch(logUnexpectedError).then(running.begin({ id, source: 'node', giveUp () {} }))
+    void work.catch(logUnexpectedError).then(running.begin({ id, source: 'node', giveUp }))
   }
   const peerSessions = servePeerCalls(peers, server, trackPeerCall, environment)
   const serveEntry = (request: IncomingMessage, response: ServerResponse) => {
