The planted fault of a stop that does not wait fits the stop again

The soak's test of planted faults failed since the stop was changed, as the lines that the plant replaces are gone. The plant now leaves out the same two waits in the new lines.

--- a/test/soak/plants.ts
+++ b/test/soak/plants.ts
@@ -29,8 +29,8 @@
     name: 'stop-at-once',
     description: 'a planned stop does not wait for requests in progress',
     file: 'src/core/node/node.ts',
-    find: '      await pause(Math.max(leaveGraceMs, servesUntil - clock.now()))\n      server.stop()\n      await waitUntilIdle(endsAt)\n',
-    replace: '      server.stop()\n      await waitUntilIdle(Math.min(startedAt, servesUntil, endsAt, leaveGraceMs))\n'
+    find: '      await pause(Math.min(servesUntil, endsAt) - clock.now())\n      await waitUntilIdle(endsAt)\n',
+    replace: '      await Promise.race([pause(0), waitUntilIdle(endsAt)])\n'
   },
   {
     name: 'error-ends-process',
