A target that accepts a connection while it ends counts as ended

Cause: after the connection of a running request breaks, the node opens another one and took the target for alive once that was accepted. A process that ends closes its connections before its listener, whose backlog accepts others until then. The crash was neither reported nor was the retry marked as a suspect, so that the retry ran at a third target.

Change: a probe watches its connection for 100 ms. If the target closes it, the probe opens another one, until one is refused (ended) or the time is over (alive: a target may close connections over its limit). The answer for a live target whose connection broke comes up to 100 ms later.

Why it works: a backlog's connections are reset when its listener closes, so a connection that stays open shows that the listener outlived the broken connection by the time of the watch. A process that is held up for longer than that between the two is still missed.

--- a/src/core/node/target.ts
+++ b/src/core/node/target.ts
@@ -1,4 +1,5 @@
 import { connect } from 'node:net'
+import { setTimeout as pause } from 'node:timers/promises'
 import { Pool } from 'undici'
 import type { Environment, Peers } from '../peers/index.ts'
 import type { Target } from '../membership/index.ts'
@@ -11,9 +12,51 @@
 import type { Gate } from './gate.ts'
 
 const connectTimeoutMs = 1000
-const probeTimeoutMs = 300
 const targetKeepAliveMs = 4000
 
+/** Time for which a probe watches whether a target goes on to listen, in milliseconds. */
+const probeTimeMs = 100
+
+/** Pause of a probe after the target closed its connection, in milliseconds. */
+const probePauseMs = 10
+
+/** What became of a connection that was opened to probe a target. */
+type ProbeEnd = 'refused' | 'closed' | 'open'
+
+/** Opens a connection and watches it for `watchMs`. A connection attempt without an answer counts as open. */
+function probeConnection (host: string, port: number, watchMs: number): Promise<ProbeEnd> {
+  return new Promise((resolve) => {
+    const socket = connect({ host, port })
+    let connected = false
+    const end = (result: ProbeEnd) => {
+      clearTimeout(timer)
+      socket.destroy()
+      resolve(result)
+    }
+    const timer = setTimeout(() => end('open'), watchMs)
+    socket.resume()
+    socket.once('connect', () => {
+      connected = true
+    })
+    socket.once('end', () => end('closed'))
+    socket.once('error', ({ code }: NodeJS.ErrnoException) => end(connected || code === 'ECONNRESET' ? 'closed' : 'refused'))
+  })
+}
+
+/**
+ * Returns false once a target refuses a connection within the probe time. A process that ends closes its connections before its listener, which
+ * accepts others until then, so one connection accepted proves nothing. Neither does one closed: a target may close those over its limit.
+ */
+async function listensThroughout (host: string, port: number, clock: Environment['clock']): Promise<boolean> {
+  const endsAt = clock.now() + probeTimeMs
+  while (clock.now() < endsAt) {
+    const result = await probeConnection(host, port, endsAt - clock.now())
+    if (result !== 'closed') return result === 'open'
+    await pause(probePauseMs)
+  }
+  return true
+}
+
 /** Options for the node's own target. */
 export interface OwnTargetOptions {
   /** Time during which a leaving target still gets new requests, in ms. */
@@ -39,7 +82,7 @@
   pool: () => Pool | undefined
   origin: () => string
   gate: Gate
-  /** Checks whether the target still accepts connections after one of them broke. Resolves false when it does not. */
+  /** Checks for some time whether the target still accepts connections after one of them broke. Resolves false as soon as it does not. */
   probe: () => Promise<boolean>
   /** Marks the target as down after another process answered at its address. No request is sent until that process announces itself. */
   markReplaced: (instance: string | undefined) => void
@@ -121,14 +164,7 @@
     async probe () {
       if (lastAnnouncement === undefined) return false
       const { host, port } = splitAddress(lastAnnouncement.address)
-      const alive = await new Promise<boolean>((resolve) => {
-        const socket = connect({ host, port, timeout: probeTimeoutMs })
-        socket.once('connect', () => resolve(true))
-        socket.once('error', () => resolve(false))
-        socket.once('timeout', () => resolve(true))
-        socket.once('close', () => resolve(false))
-        setTimeout(() => socket.destroy(), probeTimeoutMs)
-      })
+      const alive = await listensThroughout(host, port, clock)
       if (!alive) setDown()
       return alive
     },
--- a/test/node/target.test.ts
+++ b/test/node/target.test.ts
@@ -1,5 +1,8 @@
 import assert from 'node:assert/strict'
+import { createServer } from 'node:net'
+import type { AddressInfo, Server, Socket } from 'node:net'
 import { test } from 'node:test'
+import { systemClock } from '../../src/core/clock/index.ts'
 import { silentLog } from '../../src/core/log/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
 import { createAnnouncementOrder } from '../../src/core/node/announcement.ts'
@@ -121,3 +124,44 @@
   assert.equal(target.announce(announcement('i-1', 10, 2)), true)
   assert.deepEqual([target.instance(), target.acceptsRequests()], ['i-1', true])
 }))
+
+/** Probes a target whose connections `accept` handles, and returns whether it counts as alive. */
+async function probeTarget (accept: (socket: Socket, server: Server) => void): Promise<boolean> {
+  const server = createServer((socket) => {
+    socket.on('error', () => {})
+    accept(socket, server)
+  })
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  const peers = { setTarget () {} } as unknown as Peers
+  const target = createOwnTarget(peers, { clock: systemClock, random: createRandom(1), log: silentLog, metrics: createMetrics() }, { drainMs, adaptiveLimit: false })
+  try {
+    target.announce({ ...announcement('i-1', 10, 1), address: `127.0.0.1:${(server.address() as AddressInfo).port}` })
+    const alive = await target.probe()
+    assert.equal(target.current()?.state, alive ? 'up' : 'down')
+    return alive
+  } finally {
+    server.close()
+    await target.close()
+  }
+}
+
+/** Ends as a process does that is about to exit: its listener closes a moment after it has accepted the connection of the probe. */
+function endSoon (endConnection: (socket: Socket) => void): (socket: Socket, server: Server) => void {
+  return (socket, server) => void setTimeout(() => {
+    server.close()
+    endConnection(socket)
+  }, 20)
+}
+
+test('a process that accepts the connection of a probe while it ends counts as ended', async () => {
+  assert.equal(await probeTarget(endSoon((socket) => socket.resetAndDestroy())), false)
+  assert.equal(await probeTarget(endSoon((socket) => socket.destroy())), false)
+})
+
+test('a target that keeps the connection of a probe, or closes it and goes on to listen, counts as alive', async () => {
+  const sockets: Socket[] = []
+  assert.equal(await probeTarget((socket) => void sockets.push(socket)), true)
+  for (const socket of sockets) socket.destroy()
+  assert.equal(await probeTarget((socket) => void socket.destroy()), true)
+  assert.equal(await probeTarget((socket) => void socket.resetAndDestroy()), true)
+})
