Reports of crashes are repeated, and a ban is in force before its callers learn of the crash

Causes: (1) the report of a crash was offered once to each control instance and then given up. At a load of 35 all three refused it within 276 and 432 ms, as the leader was not sure of its lease or was being elected, so that the ban came one target later. (2) A ban travelled with the beacons only, and the callers of the crash got their answer before it had arrived. It can arrive later than a caller sends again.

Change: a node repeats the report every 50 ms for 10 s. The answer of the leader names the revision of a ban; the node fetches it and has the other nodes of its service fetch it from there (`config.obtain`). The callers of the crash wait for all that for 1 s at most; the report goes on after that.

Why it works: the caller of the second crash sends again after its answer, and by then the nodes that could run the request refuse it. Not covered: the same request sent several times at once, a node that does not confirm in 1 s, a leader missing for longer than that, and a target that ends after its request was cancelled.

--- a/src/core/control/control.ts
+++ b/src/core/control/control.ts
@@ -176,6 +176,12 @@
     const outcome = await group.propose(command)
     return { ok: outcome.ok }
   }
+  /** Records a crash. The answer names the revision in force when one of its fingerprints is banned. */
+  const reportCrash = async (command: Extract<Command, { type: 'crash' }>) => {
+    const { ok } = await propose(command)
+    const { bans, revision } = registry()
+    return { ok, banRevision: ok && command.fingerprints.some((fingerprint) => bans[fingerprint] !== undefined) ? revision : undefined }
+  }
   peers.rpcServer.method('consensus', ({ from, to, message }: { from: string, to: string, message: Message }) => {
     if (to === id) setImmediate(() => group.receive(from, message))
     return null
@@ -184,7 +190,7 @@
   peers.rpcServer.method('control.ready', ({ slots, boot }: { slots: Record<string, number>, boot: string }) =>
     propose({ type: 'ready', at: clock.date().getTime(), slots, boot }))
   peers.rpcServer.method('control.crash', ({ fingerprints, target }: { fingerprints: string[], target: string }) =>
-    propose({ type: 'crash', at: clock.date().getTime(), fingerprints, target }))
+    reportCrash({ type: 'crash', at: clock.date().getTime(), fingerprints, target }))
   peers.rpcServer.method('control.exonerate', async ({ fingerprint }: { fingerprint: string }) => {
     if (registry().crashes[fingerprint] === undefined && registry().bans[fingerprint] === undefined) return { ok: true }
     return await propose({ type: 'exonerate', at: clock.date().getTime(), fingerprint })
--- a/src/core/node/crashes.ts
+++ b/src/core/node/crashes.ts
@@ -1,9 +1,22 @@
+import { setTimeout as pause } from 'node:timers/promises'
 import type { Environment, Peers } from '../peers/index.ts'
 import { createCompletedFingerprints, completedRecently, recordCompleted } from '../quarantine/index.ts'
 import type { OwnTarget } from './target.ts'
 
 const reportTimeoutMs = 800
 
+/** Time for which a report is repeated while no control instance accepts it, in milliseconds. */
+const reportForMs = 10_000
+
+/** Pause before a report is repeated, in milliseconds. */
+const repeatAfterMs = 50
+
+/** Longest time that the callers of a crash wait until it is recorded and a ban is in force, in milliseconds. */
+const callersWaitMs = 1000
+
+/** Longest time that the other nodes of the service get to confirm a ban, in milliseconds. */
+const confirmTimeoutMs = 800
+
 /** Detects that the node's own target ended, and reports the requests that it was running. */
 export interface CrashReporter {
   /** Records a completed request, which exonerates its fingerprint for some time. */
@@ -18,11 +31,36 @@
   let crashCount = 0
   let pendingCheck: { fingerprints: Set<string>, result: Promise<boolean> } | undefined
 
-  const callControl = async (method: string, params: unknown) => {
+  const callControl = async (method: string, params: unknown): Promise<{ address: string, banRevision?: number } | undefined> => {
     for (const address of peers.controlAddresses()) {
-      const answer = await peers.rpc.call<{ ok: boolean }>(address, method, params, reportTimeoutMs)
-      if (answer.ok && answer.value.ok) return
+      const answer = await peers.rpc.call<{ ok: boolean, banRevision?: number }>(address, method, params, reportTimeoutMs)
+      if (answer.ok && answer.value.ok) return { address, banRevision: answer.value.banRevision }
     }
+    return undefined
+  }
+  /** Returns the addresses of the other nodes whose targets could run the same requests. */
+  const otherNodes = (): string[] => {
+    const { id } = peers.self()
+    const service = target.current()?.service
+    return peers.members().filter((member) => member.id !== id && member.target?.service === service).map(({ address }) => address)
+  }
+  /** Reports a crash until a control instance accepts it: for moments there is no leader, or it has to renew its lease. */
+  const recordCrash = async (fingerprints: string[], crashId: string) => {
+    const endsAt = clock.now() + reportForMs
+    while (clock.now() < endsAt) {
+      const report = await callControl('control.crash', { fingerprints, target: crashId })
+      if (report !== undefined) return report
+      await pause(repeatAfterMs, undefined, { ref: false })
+    }
+    log.warn('no control instance accepted the report of a crash')
+    return undefined
+  }
+  /** Reports a crash. A ban that follows from it is in force at the other nodes of the service before the callers learn of the crash and send again. */
+  const reportCrash = async (fingerprints: string[], crashId: string) => {
+    const report = await recordCrash(fingerprints, crashId)
+    if (report?.banRevision === undefined) return
+    const unconfirmed = await peers.spreadRevision(report.banRevision, report.address, otherNodes(), confirmTimeoutMs)
+    if (unconfirmed > 0) log.warn('nodes have not confirmed a ban', { nodes: unconfirmed })
   }
   const checkTarget = async (fingerprints: Set<string>) => {
     const alive = await target.probe()
@@ -32,7 +70,7 @@
     metrics.count('target_crashes_total')
     log.warn('target ended with requests running', { running: fingerprints.size })
     const reportedFingerprints = [...fingerprints].filter((fingerprint) => !completedRecently(completions, fingerprint, clock.now()))
-    if (reportedFingerprints.length > 0) await callControl('control.crash', { fingerprints: reportedFingerprints, target: crashId })
+    if (reportedFingerprints.length > 0) await Promise.race([reportCrash(reportedFingerprints, crashId), pause(callersWaitMs, undefined, { ref: false })])
     return true
   }
   peers.onConfigurationChange((configuration) => {
--- a/src/core/peers/messages.ts
+++ b/src/core/peers/messages.ts
@@ -1,4 +1,5 @@
 import * as v from 'valibot'
+import { isAddress } from '../address/index.ts'
 
 const list = v.array(v.unknown())
 
@@ -13,6 +14,10 @@
 
 const items = v.record(v.string(), v.unknown())
 const revision = v.pipe(v.number(), v.safeInteger(), v.minValue(0))
+
+/** Request to fetch a revision from the process at an address. */
+export const obtainRequestSchema = v.object({ revision, source: v.pipe(v.string(), v.check(isAddress, 'an address is IP:PORT')) })
+
 const collections = { templates: items, workspaces: items, keys: items, slots: items, bans: items, deployments: items }
 
 /** Reply to a request for a newer configuration, of which only the form is checked: a leader has validated the content. */
--- a/src/core/peers/peers.ts
+++ b/src/core/peers/peers.ts
@@ -21,7 +21,7 @@
 import { createDatagrams, createRpcClient, createRpcServer, rpcPath } from '../rpc/index.ts'
 import type { Datagrams, RpcClient, RpcServer } from '../rpc/index.ts'
 import { closeServer, listen } from '../http/index.ts'
-import { fetchReplySchema, mergeRequestSchema, syncReplySchema, syncRequestSchema } from './messages.ts'
+import { fetchReplySchema, mergeRequestSchema, obtainRequestSchema, syncReplySchema, syncRequestSchema } from './messages.ts'
 import { chooseRelays, chooseSource } from './spread.ts'
 import { createTraffic } from './traffic.ts'
 import type { Traffic } from './traffic.ts'
@@ -81,6 +81,12 @@
   members: EncodedMember[]
 }
 
+/** Request to fetch a revision from the process at `source`, unless the asked one has it. */
+interface ObtainRequest {
+  revision: number
+  source: string
+}
+
 /** Reply to a request for a newer configuration: the missing deltas, the full configuration, or neither. */
 interface FetchReply {
   deltas?: Delta[]
@@ -110,6 +116,11 @@
   publishBeacon: (beacon: Beacon) => void
   /** Installs a configuration taken from the registry of this process, with the newest deltas that led to it. */
   installConfiguration: (configuration: Configuration, deltas: readonly Delta[]) => void
+  /**
+   * Brings a revision that `source` has to this process, and from here to the processes at `addresses`, without waiting for beacons.
+   * Resolves with the number of those that have not confirmed it within about `timeoutMs`.
+   */
+  spreadRevision: (revision: number, source: string, addresses: readonly string[], timeoutMs: number) => Promise<number>
   onMemberChange: (listener: (member: Member) => void) => void
   onConfigurationChange: (listener: (configuration: Configuration) => void) => void
   /** Registers the handler of upgrade requests to the peer listener, with which other nodes open connections to this one. */
@@ -241,9 +252,9 @@
     advanceRevision(freshness, configuration.revision)
     for (const listener of configurationListeners) listener(configuration)
   }
-  const fetchConfigurationFrom = async (peer: string) => {
+  const fetchConfigurationFrom = async (peer: string, timeoutMs = fetchTimeoutMs) => {
     const since = configuration.revision
-    const answer = await rpc.call(peer, 'config.fetch', { since }, fetchTimeoutMs)
+    const answer = await rpc.call(peer, 'config.fetch', { since }, timeoutMs)
     if (!answer.ok || !isOpen) return
     const checked = check(fetchReplySchema, answer.value)
     if (!checked.ok) return recordRefusal('configurations_refused_total', `configuration from ${peer}, ${checked.reason}`)
@@ -276,6 +287,17 @@
     }
     isFetching = false
   }
+  /** Fetches a revision from a process that has it, unless it is here. Returns true once it is here. */
+  const obtainRevision = async ({ revision, source }: ObtainRequest, timeoutMs?: number): Promise<boolean> => {
+    if (configuration.revision < revision) await fetchConfigurationFrom(source, timeoutMs)
+    return configuration.revision >= revision
+  }
+  const spreadRevision = async (revision: number, source: string, addresses: readonly string[], timeoutMs: number): Promise<number> => {
+    if (!await obtainRevision({ revision, source }, timeoutMs)) return addresses.length
+    const request = { revision, source: address } satisfies ObtainRequest
+    const answers = await Promise.all(addresses.map((peer) => rpc.call<boolean>(peer, 'config.obtain', request, timeoutMs)))
+    return answers.filter((answer) => !answer.ok || !answer.value).length
+  }
   const buildFetchReply = ({ since }: { since: number }): FetchReply => {
     const newerDeltas = deltas.filter((delta) => delta.revision > since)
     const isComplete = newerDeltas.length > 0 && newerDeltas[0].revision === since + 1
@@ -300,6 +322,7 @@
     return null
   })
   rpcServer.method('config.fetch', buildFetchReply)
+  rpcServer.method('config.obtain', (request: unknown) => obtainRevision(v.parse(obtainRequestSchema, request)))
   scheduleTick()
   metrics.gauge('members', () => members().length)
   metrics.gauge('configuration_revision', () => configuration.revision)
@@ -322,6 +345,7 @@
     reportUnreachable: (id) => handleEvent({ type: 'unreachable', id }),
     publishBeacon: (beacon) => receiveBeacon(beacon, 0, address),
     installConfiguration: (next, added) => installConfiguration(next, added.filter((delta) => delta.revision > configuration.revision)),
+    spreadRevision,
     onMemberChange: (listener) => void memberListeners.push(listener),
     onConfigurationChange: (listener) => void configurationListeners.push(listener),
     onUpgrade: (handler) => void server.on('upgrade', handler),
