Calls of requests in progress are begun by a stopping node only if they end in time, too

Cause: the rule of a stop excepted calls of requests in progress until half a second before its end, and such a call can take longer. Change: the exception is gone. It gained little: a call ends no later than its request, and a request that is begun late certainly ends in time.

--- a/src/core/node/filters.ts
+++ b/src/core/node/filters.ts
@@ -163,8 +163,7 @@
 function checkStop (arrival: Arrival, context: EntryContext): Outcome<null> {
   const { route, callerRequest } = arrival
   if (route === undefined) return accepted
-  const mayBegin = context.mayBegin({ timeoutMs: requestTimeoutMs(route, callerRequest), inProgress: isCallInProgress(arrival, context) })
-  return mayBegin ? accepted : fail('leaving')
+  return context.mayBegin({ timeoutMs: requestTimeoutMs(route, callerRequest) }) ? accepted : fail('leaving')
 }
 
 function checkBodyForKeys ({ body }: Arrival): Outcome<null> {
--- a/src/core/node/outgoing.ts
+++ b/src/core/node/outgoing.ts
@@ -48,7 +48,7 @@
   const pathname = path.split('?', 1)[0]
   const keyFailure = context.findKeyFailure(parent)
   if (keyFailure !== undefined) return keyFailure
-  if (!context.mayBegin({ timeoutMs: span.deadlineAt - now, inProgress: true })) return fail('leaving')
+  if (!context.mayBegin({ timeoutMs: span.deadlineAt - now })) return fail('leaving')
   if (span.cancellation.cancelled) return fail('deadline', { stage: 'before the outgoing call' })
   if (parent.depth + 1 > maxDepth) return fail('badRequest', { reason: `the chain is deeper than ${maxDepth} calls` })
   const routes = directory.routes()
--- a/src/core/node/serve.ts
+++ b/src/core/node/serve.ts
@@ -11,7 +11,6 @@
 import type { Decisions } from './decisions.ts'
 import { sendExchange } from './exchange.ts'
 import type { ExchangeError } from './exchange.ts'
-import { inProgressPriority } from './constants.ts'
 import type { Dependencies } from './dependencies.ts'
 import type { Dialect } from './dialect.ts'
 import { headerOf } from './headers.ts'
@@ -100,9 +99,9 @@
   }
 
   const findRefusal = (call: Call): { failure: Failure, elsewhere: boolean } | undefined => {
-    const { service, fingerprint, priority } = call.context
+    const { service, fingerprint } = call.context
     const now = clock.now()
-    if (!mayBegin({ timeoutMs: call.deadlineAt - now, inProgress: priority === inProgressPriority })) return { failure: fail('leaving'), elsewhere: true }
+    if (!mayBegin({ timeoutMs: call.deadlineAt - now })) return { failure: fail('leaving'), elsewhere: true }
     if (target.current()?.service !== service || !target.acceptsRequests()) return { failure: fail('noTarget', { service }), elsewhere: true }
     const banned = findBan(fingerprint, peers, clock.date())
     if (banned !== undefined) return { failure: banned, elsewhere: false }
--- a/src/core/node/stop.ts
+++ b/src/core/node/stop.ts
@@ -1,6 +1,3 @@
-/** Time before the end of a stop from which no further calls of requests in progress are begun, in milliseconds. Their answers would be too late to be used. */
-const callReserveMs = 500
-
 /** A planned stop. Times are monotonic, in ms. */
 export interface Stop {
   startedAt: number
@@ -18,18 +15,15 @@
 
 /** Properties of a request that decide whether a stopping node begins it. */
 export interface StoppingRequest {
-  /** Time within which the request certainly ends, in ms. */
+  /** Time within which the request certainly ends, in ms. A call that a target makes for a request ends no later than that request. */
   timeoutMs: number
-  /** True for a call of a request that has already begun. Refusing it wastes that request. */
-  inProgress: boolean
 }
 
 /**
  * Returns true when a node may begin a request. A stopping node begins what its callers could not send elsewhere in time, and later only what certainly
  * ends before the stop does, so that it gives up as little as possible; anything else is refused while it has not run.
  */
-export function beginsDuring (stop: Stop | undefined, { timeoutMs, inProgress }: StoppingRequest, now: number): boolean {
+export function beginsDuring (stop: Stop | undefined, { timeoutMs }: StoppingRequest, now: number): boolean {
   if (stop === undefined || now < stop.servesUntil) return true
-  if (inProgress && now < stop.endsAt - callReserveMs) return true
   return now + timeoutMs <= stop.endsAt
 }
--- a/test/node/stop.test.ts
+++ b/test/node/stop.test.ts
@@ -7,25 +7,26 @@
 const stop: Stop = { startedAt: 0, servesUntil: 2600, endsAt: 5500 }
 
 test('a node that does not stop begins every request', () => {
-  assert.equal(beginsDuring(undefined, { timeoutMs: 60_000, inProgress: false }, 1e9), true)
+  assert.equal(beginsDuring(undefined, { timeoutMs: 60_000 }, 1e9), true)
 })
 
 test('a long request of a caller that cannot know of the stop yet is not refused', () => {
-  assert.equal(beginsDuring(stop, { timeoutMs: 60_000, inProgress: false }, 2599), true)
+  assert.equal(beginsDuring(stop, { timeoutMs: 60_000 }, 2599), true)
 })
 
 test('a request read late is begun only if it certainly ends before the stop does', () => {
   fc.assert(fc.property(fc.double({ min: 2600, max: 10_000, noNaN: true }), fc.double({ min: 0, max: 10_000, noNaN: true }), (now, timeoutMs) => {
-    assert.equal(beginsDuring(stop, { timeoutMs, inProgress: false }, now), now + timeoutMs <= stop.endsAt)
+    assert.equal(beginsDuring(stop, { timeoutMs }, now), now + timeoutMs <= stop.endsAt)
   }), { seed: 27 })
 })
 
-test('a call of a request in progress is not refused until its answer would be useless', () => {
-  assert.equal(beginsDuring(stop, { timeoutMs: 60_000, inProgress: true }, 4999), true)
-  assert.equal(beginsDuring(stop, { timeoutMs: 60_000, inProgress: true }, 5000), false)
+test('a call of a request in progress is not begun and given up', () => {
+  const parent = { deadlineAt: 4500, callsAt: 4200 }
+  assert.equal(beginsDuring(stop, { timeoutMs: parent.deadlineAt - parent.callsAt }, parent.callsAt), true)
+  assert.equal(beginsDuring(stop, { timeoutMs: 2000 }, 4880), false)
 })
 
 test('a stop that is shorter than the time for unknowing callers begins nothing after its end', () => {
   const short: Stop = { startedAt: 0, servesUntil: 1000, endsAt: 1000 }
-  assert.equal(beginsDuring(short, { timeoutMs: 1, inProgress: true }, 1000), false)
+  assert.equal(beginsDuring(short, { timeoutMs: 1 }, 1000), false)
 })
