--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,57 +1,65 @@
-// A heartbeat that the network delivers late, after the deregistration of its server was acknowledged.
-import { configuration, keptConnections, now, runCase, send, sleep } from '../lib/fleet.mjs'
+// Hundreds of changes of a configuration with many routes, sent one after the other, with nothing else going on.
+import { configuration, listEnds, now, runCase, sleep, supervise } from '../lib/fleet.mjs'
 
-const drainMs = 2000
-/** Time by which the heartbeat is late. */
-const lateMs = 2500
-/** Time for which the server goes on serving after the acknowledgement. */
-const servesMs = 8000
+const cores = 3
+/** Routes by which the configuration grows: `big_config`, count = 1400, in grown/haelvaerk-mesh-grown.toml. */
+const moreRoutes = process.env.TROUBLE === '0' ? 0 : 1400
+const changes = 280
+const gapMs = 100
+/** `memoryMb` of the settings of a core machine on that site. */
+const memoryMb = 346
+/** Longest time for which changes are sent, time from then on until the operator begins to read back, and time for which it reads. */
+const changesMs = 70_000
+const recoverMs = 16_000
+const readBackMs = 10_000
 
-await runCase(import.meta.dirname, {}, async (fleet, trouble) => {
-  const leaving = await fleet.startMachine(1, 'alpha', { workMs: 300 })
-  const staying = await fleet.startMachine(2, 'alpha', { workMs: 300 })
-  await fleet.startMachine(3, 'beta')
-  await fleet.startMachine(4, 'beta')
-  await fleet.replaceConfiguration('0', configuration(1, ['alpha', 'beta'], { kind: 'non_idempotent' }))
-  await fleet.waitReady([1, 2, 3, 4])
-  const clients = { sending: true }
-  const answers = []
-  const traffic = [3, 4].map(async (n) => {
-    const agent = keptConnections()
-    while (clients.sending) {
-      answers.push(send(fleet, n, { method: 'POST', path: '/alpha/order', body: 'one order', agent }))
-      await sleep(50)
-    }
-  })
-  await sleep(6000) // Twice `contact`.
+function document (version) {
+  const base = configuration(version, ['alpha'])
+  const routes = [...Array(moreRoutes).keys()].map((index) => ({
+    name: `r-idle${String(index).padStart(4, '0')}`,
+    kind: 'idempotent',
+    targetLatency: '1500ms',
+    priority: 2,
+    public: false,
+    match: { pathPrefix: `/idle${String(index).padStart(4, '0')}/` },
+    action: { service: 'alpha', timeout: '6000ms', maxAttempts: 2 }
+  }))
+  base.listeners.push({ host: 'idle.example', routeRules: routes })
+  base.listeners[0].routeRules[0].action.timeout = `${3000 + version % 100}ms`
+  return base
+}
 
-  leaving.stopBeats()
-  const lateBeat = leaving.nextBeat('ready')
-  fleet.record(`server 1: sends heartbeat ${lateBeat.sequence} (ready)`)
-  const lateArrival = trouble
-    ? sleep(lateMs).then(() => {
-      fleet.record(`network: heartbeat ${lateBeat.sequence} arrives, ${lateMs} ms late`)
-      return leaving.post('heartbeat', lateBeat)
-    })
-    : leaving.post('heartbeat', lateBeat)
-  await sleep(1500)
-  const acknowledgement = await leaving.post('deregister', { born: leaving.born, sequence: leaving.nextSequence() })
-  const acknowledgedAt = now()
-  fleet.record(`server 1: deregistered -> ${acknowledgement.status}`)
-  if (acknowledgement.status !== 200) throw new Error('the deregistration was not acknowledged')
-  const late = await lateArrival
-  fleet.record(`server 1: heartbeat ${lateBeat.sequence} -> ${late.status}`)
-  await sleep(acknowledgedAt + servesMs - now())
-  fleet.record('server 1: exits')
-  await leaving.close()
-  await sleep(1000)
-  clients.sending = false
-  await Promise.all(traffic)
-  const replies = await Promise.all(answers)
-  const ranAtLeaving = new Set(leaving.runs.map(({ requestId }) => requestId))
-  const lost = replies.filter(({ id, status, sentAt }) => status !== 200 && sentAt > acknowledgedAt && ranAtLeaving.has(id))
-  const after = leaving.runs.filter(({ arrivedAt }) => arrivedAt > acknowledgedAt + drainMs)
-  const lastMs = after.length === 0 ? 0 : Math.round(after.at(-1).arrivedAt - acknowledgedAt)
-  const total = leaving.runs.length + staying.runs.length
-  return { broken: after.length > 0, text: `${after.length} requests reached server 1 later than ${drainMs} ms after its deregistration was acknowledged, the last one after ${lastMs} ms; ${lost.length} of them were lost when it exited (${total} requests in all)` }
+await runCase(import.meta.dirname, { cores }, async (fleet) => {
+  const ends = new Map()
+  const day = { over: false }
+  const supervisors = [1, 2, 3].map((n) => supervise(fleet, `core-${n}`, { memoryMb, ends, day, restart: () => fleet.startCore(n, false) }))
+  await fleet.replaceConfiguration('0', document(1))
+  const size = JSON.stringify(document(1)).length
+  const startedAt = now()
+  let version = 1
+  let acknowledged = 1
+  while (version <= changes && now() - startedAt < changesMs) {
+    const dueAt = now() + gapMs
+    const reply = await fleet.replaceConfiguration(`r${version}`, document(version + 1), version % cores + 1, 6000).catch(() => undefined)
+    if (reply === undefined) break
+    version++
+    if (reply.status === 200) acknowledged = version
+    await sleep(dueAt - now())
+  }
+  fleet.record(`operator: the newest acknowledged version is r${acknowledged}`)
+  await sleep(recoverMs)
+  let read
+  let reads = 0
+  for (const until = now() + readBackMs; now() < until && read === undefined; await sleep(300)) {
+    for (const n of [1, 2, 3]) {
+      const reply = await fleet.readConfiguration(n)
+      reads++
+      fleet.record(`operator: config.get at core-${n} -> ${reply.status} ${reply.status === 200 ? JSON.parse(reply.text).version : reply.text.slice(0, 100)}`)
+      if (reply.status === 200) read = Number(JSON.parse(reply.text).version.slice(1))
+    }
+  }
+  day.over = true
+  await Promise.all(supervisors)
+  const broken = read === undefined || read < acknowledged
+  return { broken, text: `r${acknowledged} of ${size} bytes acknowledged last; read back in ${reads} tries: ${read === undefined ? 'nothing' : `r${read}`}; ends of processes: ${listEnds(ends)}` }
 })
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -179,6 +179,44 @@
   return fleet
 }
 
+/** Returns the memory that a process uses, in MB. */
+function usedMb (pid) {
+  try {
+    return Number(/VmRSS:\s+(\d+)/.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1] ?? 0) / 1024
+  } catch {
+    return 0
+  }
+}
+
+/**
+ * Acts as the platform towards one process until `day.over` or `day.gone` has its name: kills it when it uses more than `memoryMb`, and calls `restart`
+ * half a second after it has ended. Counts its ends in `ends`.
+ */
+export async function supervise (fleet, name, { memoryMb, restart, ends, day }) {
+  ends.set(name, 0)
+  while (!day.over) {
+    const { child, ended, log } = fleet.process(name)
+    const end = await Promise.race([ended, sleep(15)])
+    if (day.gone?.has(name)) return
+    if (end === undefined) {
+      const used = usedMb(child.pid)
+      if (used <= memoryMb) continue
+      fleet.record(`platform: ${name} uses ${Math.round(used)} MB of ${memoryMb} and is killed`)
+      child.kill('SIGKILL')
+      await ended
+    } else {
+      const reason = log.join('').split('\n').find((line) => line.startsWith('FATAL')) ?? ''
+      fleet.record(`platform: ${name} ended by itself: code ${end.code}, signal ${end.signal}; ${reason}`)
+    }
+    ends.set(name, ends.get(name) + 1)
+    await sleep(500)
+    restart()
+  }
+}
+
+/** Writes how often each process ended. */
+export const listEnds = (ends) => [...ends].map(([name, count]) => `${name} ${count}`).join(', ')
+
 let requestCount = 0
 /** Draws a new request id. */
 export const newId = () => `${(++requestCount).toString(16).padStart(6, '0')}${Math.floor(Math.random() * 2 ** 40).toString(16).padStart(10, '0')}`
