--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -225,8 +225,9 @@
 async function startServer (fleet, n, service, { slots = 40, workMs = 20, onRequest, beats = true, respond } = {}) {
   const { net, ports, record } = fleet
   const ip = `${net}.${10 + n}`
-  const id = `i-${n}-${Math.floor(Math.random() * 1e9).toString(16)}`
-  const born = Date.now()
+  const drawId = () => `i-${n}-${Math.floor(Math.random() * 1e9).toString(16)}`
+  let id = drawId()
+  let born = Date.now()
   let sequence = 0
   let timer
   const runs = []
@@ -258,9 +259,9 @@
   const nextBeat = (state = 'ready') => ({ service, address: `${ip}:${ports.app}`, zone: `zone-${n}`, version: 'v1', slots, state, coldLeft: '0ms', sequence: ++sequence, born })
   const server = {
     n,
-    id,
+    get id () { return id },
     ip,
-    born,
+    get born () { return born },
     app,
     runs,
     record,
@@ -274,6 +275,18 @@
       server.sendBeat('ready')
     },
     stopBeats: () => clearInterval(timer),
+    /** Ends without a word. Starts again after `backAfterMs` as a new process with a new id. */
+    async crash (backAfterMs) {
+      clearInterval(timer)
+      app.close()
+      app.closeAllConnections()
+      await sleep(backAfterMs)
+      id = drawId()
+      born = Date.now()
+      sequence = 0
+      await new Promise((_resolve) => app.listen(ports.app, ip, _resolve))
+      server.startBeats()
+    },
     async close () {
       clearInterval(timer)
       app.close()
