--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -6,6 +6,8 @@
 const moreRoutes = 1400
 const changes = 130
 const gapMs = 100
+/** Longest time for which these changes are sent. */
+const changesMs = 55_000
 /** `memoryMb` of the settings of a core machine on that site. */
 const memoryMb = 346
 /** Time after which the empty machine comes. */
@@ -47,7 +49,8 @@
     version++
     if (reply.status === 200) acknowledged = version
   }
-  for (let index = 0; index < changes; index++) {
+  const startedAt = now()
+  for (let index = 0; index < changes && now() - startedAt < changesMs; index++) {
     const dueAt = now() + gapMs
     await change()
     await sleep(dueAt - now())
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -4,8 +4,8 @@
 const cores = 3
 /** Routes by which the configuration grows: `big_config`, count = 1400, in grown/haelvaerk-mesh-grown.toml. */
 const moreRoutes = process.env.TROUBLE === '0' ? 0 : 1400
-const changes = 280
-const gapMs = 100
+const changes = 400
+const gapMs = 60
 /** `memoryMb` of the settings of a core machine on that site. */
 const memoryMb = 346
 /** Longest time for which changes are sent, time from then on until the operator begins to read back, and time for which it reads. */
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -88,6 +88,11 @@
   const ports = { internal: [base, base + 15], ...Object.fromEntries(names.map((name, index) => [name, base + 16 + index])) }
   const children = new Map()
   const cleanups = []
+  process.on('exit', () => {
+    for (const { child } of children.values()) child.kill('SIGKILL')
+    rmSync(work, { recursive: true, force: true })
+  })
+  for (const signal of ['SIGINT', 'SIGTERM']) process.once(signal, () => process.exit(2))
 
   const settings = (name, ip, changes) => ({
     name, domain: `zone-${name.at(-1)}`, ip, peerPorts: ports.internal, seeds: [1, 2, 3].slice(0, cores).map((n) => `${net}.${n}:${ports.control}`), bootstrap: true, bounds, controlAddress: `${ip}:${ports.control}`, ...changes
