--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,11 +1,10 @@
 // A machine of the core is replaced by an empty one after some changes of a configuration with many routes.
-import { configuration, listEnds, now, runCase, sleep, supervise } from '../lib/fleet.mjs'
+import { changeInStorms, configuration, listEnds, now, runCase, sleep, supervise } from '../lib/fleet.mjs'
 
 const cores = 4
-/** Routes by which the configuration grows: `big_config`, count = 1400, in grown/haelvaerk-mesh-grown.toml. */
+/** Routes by which the configuration grows: `big_config`, count = 1400, in grown/mamxanh-ho-grown.toml. */
 const moreRoutes = 1400
 const changes = 130
-const gapMs = 100
 /** Longest time for which these changes are sent. */
 const changesMs = 55_000
 /** `memoryMb` of the settings of a core machine on that site. */
@@ -49,12 +48,7 @@
     version++
     if (reply.status === 200) acknowledged = version
   }
-  const startedAt = now()
-  for (let index = 0; index < changes && now() - startedAt < changesMs; index++) {
-    const dueAt = now() + gapMs
-    await change()
-    await sleep(dueAt - now())
-  }
+  await changeInStorms(change, changes, changesMs)
   if (trouble) {
     day.gone.add('core-3')
     await fleet.kill('core-3')
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,15 +1,14 @@
 // Hundreds of changes of a configuration with many routes, sent one after the other, with nothing else going on.
-import { configuration, listEnds, now, runCase, sleep, supervise } from '../lib/fleet.mjs'
+import { changeInStorms, configuration, listEnds, now, runCase, sleep, supervise } from '../lib/fleet.mjs'
 
-const cores = 3
-/** Routes by which the configuration grows: `big_config`, count = 1400, in grown/haelvaerk-mesh-grown.toml. */
+const cores = 4
+/** Routes by which the configuration grows: `big_config`, count = 1400, in grown/mamxanh-ho-grown.toml. */
 const moreRoutes = process.env.TROUBLE === '0' ? 0 : 1400
 const changes = 400
-const gapMs = 60
 /** `memoryMb` of the settings of a core machine on that site. */
 const memoryMb = 346
 /** Longest time for which changes are sent, time from then on until the operator begins to read back, and time for which it reads. */
-const changesMs = 70_000
+const changesMs = 50_000
 const recoverMs = 16_000
 const readBackMs = 10_000
 
@@ -32,26 +31,24 @@
 await runCase(import.meta.dirname, { cores }, async (fleet) => {
   const ends = new Map()
   const day = { over: false }
-  const supervisors = [1, 2, 3].map((n) => supervise(fleet, `core-${n}`, { memoryMb, ends, day, restart: () => fleet.startCore(n, false) }))
+  const supervisors = [1, 2, 3, 4].map((n) => supervise(fleet, `core-${n}`, { memoryMb, ends, day, restart: () => fleet.startCore(n, false) }))
   await fleet.replaceConfiguration('0', document(1))
   const size = JSON.stringify(document(1)).length
-  const startedAt = now()
   let version = 1
   let acknowledged = 1
-  while (version <= changes && now() - startedAt < changesMs) {
-    const dueAt = now() + gapMs
+  await changeInStorms(async () => {
     const reply = await fleet.replaceConfiguration(`r${version}`, document(version + 1), version % cores + 1, 6000).catch(() => undefined)
-    if (reply === undefined) break
+    if (reply === undefined) return false
     version++
     if (reply.status === 200) acknowledged = version
-    await sleep(dueAt - now())
-  }
+    return true
+  }, changes, changesMs)
   fleet.record(`operator: the newest acknowledged version is r${acknowledged}`)
   await sleep(recoverMs)
   let read
   let reads = 0
   for (const until = now() + readBackMs; now() < until && read === undefined; await sleep(300)) {
-    for (const n of [1, 2, 3]) {
+    for (const n of [1, 2, 3, 4]) {
       const reply = await fleet.readConfiguration(n)
       reads++
       fleet.record(`operator: config.get at core-${n} -> ${reply.status} ${reply.status === 200 ? JSON.parse(reply.text).version : reply.text.slice(0, 100)}`)
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -8,6 +8,10 @@
 /** Half of the objective of 1500 ms. */
 const leavesAfterMs = 750
 const comesEachMs = 1500
+/** Three times, for 5.25 s each, the clients that send it leave. In the pause between it doesn't come. */
+const times = 3
+const requestsEachTime = 4
+const pauseMs = 4000
 const poisonPath = '/alpha/poison'
 
 await runCase(import.meta.dirname, {}, async (fleet, trouble) => {
@@ -47,10 +51,12 @@
     }
   })
   const poisons = []
-  for (let count = 0; count < 24; count++) {
-    const n = 6 + count % 2
-    poisons.push(send(fleet, n, { path: poisonPath, deadlineMs: 3000, signal: trouble ? AbortSignal.timeout(leavesAfterMs) : undefined }))
-    await sleep(comesEachMs)
+  for (let time = 0; time < times; time++) {
+    for (let count = 0; count < requestsEachTime; count++) {
+      poisons.push(send(fleet, 6 + count % 2, { path: poisonPath, deadlineMs: 3000, signal: trouble ? AbortSignal.timeout(leavesAfterMs) : undefined }))
+      await sleep(comesEachMs)
+    }
+    await sleep(pauseMs)
   }
   day.over = true
   await Promise.all([...traffic, ...poisons])
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -8,6 +8,9 @@
 import { join, resolve } from 'node:path'
 
 const root = resolve(import.meta.dirname, '../..')
+/** Time after which a case ends itself. */
+const longestCaseMs = 117_000
+
 const secret = 'cluster-secret-of-this-deployment'
 
 /** Bounds of the settings on the DEPLOY page. */
@@ -222,6 +225,26 @@
 /** Writes how often each process ended. */
 export const listEnds = (ends) => [...ends].map(([name, count]) => `${name} ${count}`).join(', ')
 
+/** Storms of changes, as `config_storm` with gap_s = 0.06 and for_s = 1.5, with pauses between them. */
+const stormGapMs = 60
+const stormMs = 1500
+const stormPauseMs = 500
+
+/** Calls `change` up to `count` times in storms, for `withinMs` at most or until it resolves with false. */
+export async function changeInStorms (change, count, withinMs) {
+  const startedAt = now()
+  let stormEndsAt = startedAt + stormMs
+  for (let done = 0; done < count && now() - startedAt < withinMs; done++) {
+    if (now() >= stormEndsAt) {
+      await sleep(stormPauseMs)
+      stormEndsAt = now() + stormMs
+    }
+    const dueAt = now() + stormGapMs
+    if (await change() === false) return
+    await sleep(dueAt - now())
+  }
+}
+
 let requestCount = 0
 /** Draws a new request id. */
 export const newId = () => `${(++requestCount).toString(16).padStart(6, '0')}${Math.floor(Math.random() * 2 ** 40).toString(16).padStart(10, '0')}`
@@ -349,6 +372,10 @@
 /** Runs a case: exit code 1 if `play` finds the rule broken, 0 if it held, 2 if the case couldn't run. */
 export async function runCase (folder, options, play) {
   let fleet
+  setTimeout(() => {
+    console.log('the case could not run: it took too long')
+    process.exit(2)
+  }, longestCaseMs).unref()
   let code = 2
   try {
     fleet = await createFleet(folder, options)
