--- a/src/core/consensus/constants.ts
+++ b/src/core/consensus/constants.ts
@@ -16,8 +16,14 @@
 /** Maximum number of entries in one append message. */
 export const maxAppendEntries = 256
 
-/** Delay before an unacknowledged snapshot is sent again, in milliseconds. */
-export const snapshotRetryMs = 5000
+/** Size of the entries in one append message, in bytes; one entry is sent whatever its size. */
+export const maxAppendBytes = 1024 * 1024
+
+/** Length of the part of a snapshot in one message, in characters. */
+export const maxSnapshotPartLength = 512 * 1024
+
+/** Time after which a message that no reply has answered may be sent again, in milliseconds. */
+export const appendTimeoutMs = 1000
 
 /** Maximum lag of a learner behind the commit index at its promotion to voter, in entries. */
 export const maxPromotionLag = 16
--- a/src/core/consensus/core.ts
+++ b/src/core/consensus/core.ts
@@ -1,7 +1,8 @@
 import type { Random } from '../random/index.ts'
-import { heartbeatIntervalMs, leaseMs, maxAppendEntries, maxElectionTimeoutMs, minElectionTimeoutMs, maxPromotionLag, snapshotRetryMs } from './constants.ts'
+import { heartbeatIntervalMs, leaseMs, maxElectionTimeoutMs, minElectionTimeoutMs, maxPromotionLag } from './constants.ts'
 import { entriesFrom, hasPendingMemberChange, lastIndex, lastTerm, membersOf, quorumOf, termAt, voters } from './log.ts'
-import type { Effect, Entry, Event, Member, Message, Payload, Progress, Snapshot, State, Stored } from './types.ts'
+import { createProgress, recordLoss, recordReply, replicate, sendHeartbeat } from './replication.ts'
+import type { Effect, Entry, Event, IncomingSnapshot, Member, Message, Payload, Progress, Snapshot, State, Stored } from './types.ts'
 
 type MessageOf<Type extends Message['type']> = Extract<Message, { type: Type }>
 
@@ -23,6 +24,7 @@
     heartbeatDueAt: 0,
     leaderMessageAt: startedAt,
     progress: {},
+    incoming: null,
     readRound: 0,
     pendingReads: []
   }
@@ -39,6 +41,7 @@
     case 'propose': onPropose(state, event.id, { type: 'command', command: event.command }, now, effects); break
     case 'change-members': onChangeMembers(state, event.id, event.members, now, effects); break
     case 'compact': onCompact(state, event.snapshot, effects); break
+    case 'undelivered': recordLoss(state.progress[event.to], event.sentAt); break
     case 'transfer': onTransfer(state, effects); break
     case 'read': onRead(state, event.id, now, effects); break
   }
@@ -124,10 +127,6 @@
   appendEntry(state, '', { type: 'noop' }, now, effects)
 }
 
-function createProgress (next: number, now: number): Progress {
-  return { nextIndex: next, matchIndex: 0, ackedAt: now, acknowledgedRound: 0, snapshotRetryAt: -Infinity }
-}
-
 function becomeFollower (state: State, term: number, leader: string | null, now: number, random: Random, effects: Effect[]): void {
   if (term > state.hardState.term) saveHardState(state, term, null, effects)
   state.role = 'follower'
@@ -144,7 +143,7 @@
   effects.push({ type: 'save', entries: [entry] })
   if (payload.type === 'members') syncProgress(state, payload.members, now)
   advanceCommit(state, now, effects)
-  broadcast(state, now, effects)
+  for (const to of Object.keys(state.progress)) replicate(state, to, now, effects)
 }
 
 function syncProgress (state: State, members: Member[], now: number): void {
@@ -157,31 +156,9 @@
 
 function broadcast (state: State, now: number, effects: Effect[]): void {
   state.heartbeatDueAt = now + heartbeatIntervalMs
-  for (const id of Object.keys(state.progress)) sendAppend(state, id, now, effects)
-}
-
-function sendAppend (state: State, to: string, now: number, effects: Effect[]): void {
-  const progress = state.progress[to]
-  const previousIndex = progress.nextIndex - 1
-  const previousTerm = termAt(state, previousIndex)
-  if (previousTerm === undefined) return sendSnapshot(state, to, progress, now, effects)
-  const message: Message = {
-    type: 'append',
-    term: state.hardState.term,
-    previousIndex,
-    previousTerm,
-    entries: entriesFrom(state, progress.nextIndex, maxAppendEntries),
-    commit: state.commit,
-    sentAt: now,
-    round: state.readRound
+  for (const to of Object.keys(state.progress)) {
+    if (!replicate(state, to, now, effects)) sendHeartbeat(state, to, now, effects)
   }
-  effects.push({ type: 'send', to, message })
-}
-
-function sendSnapshot (state: State, to: string, progress: Progress, now: number, effects: Effect[]): void {
-  if (now < progress.snapshotRetryAt) return
-  progress.snapshotRetryAt = now + snapshotRetryMs
-  effects.push({ type: 'send', to, message: { type: 'snapshot', term: state.hardState.term, snapshot: state.snapshot, sentAt: now, round: state.readRound } })
 }
 
 function onMessage (state: State, from: string, message: Message, now: number, random: Random, effects: Effect[]): void {
@@ -198,6 +175,7 @@
     case 'append': return onAppend(state, from, message, now, random, effects)
     case 'snapshot': return onSnapshot(state, from, message, now, random, effects)
     case 'append-reply': return onAppendReply(state, from, message, now, effects)
+    case 'snapshot-reply': return onSnapshotReply(state, from, message, now, effects)
     case 'timeout-now':
       if (message.term === state.hardState.term && voters(state).includes(state.id)) startElection(state, true, now, random, effects)
   }
@@ -283,34 +261,74 @@
 function onSnapshot (state: State, from: string, message: MessageOf<'snapshot'>, now: number, random: Random, effects: Effect[]): void {
   if (message.term < state.hardState.term) return replyToAppend(state, from, false, 0, message, effects)
   followLeader(state, from, now, random)
-  const { snapshot } = message
-  if (snapshot.index > state.commit) {
-    const matchesLog = termAt(state, snapshot.index) === snapshot.term
-    state.entries = matchesLog ? entriesFrom(state, snapshot.index + 1, Infinity) : []
-    state.snapshot = snapshot
-    state.commit = snapshot.index
-    effects.push({ type: 'snapshot', snapshot, entries: state.entries, restore: true })
+  if (message.index > state.commit) {
+    const incoming = receivePart(state, from, message)
+    if (incoming.text.length < message.length) {
+      const { index, sentAt, round } = message
+      effects.push({ type: 'send', to: from, message: { type: 'snapshot-reply', term: state.hardState.term, index, received: incoming.text.length, sentAt, round } })
+      return
+    }
+    state.incoming = null
+    installSnapshot(state, { index: message.index, term: message.snapshotTerm, members: message.members, state: incoming.text }, effects)
   }
-  replyToAppend(state, from, true, snapshot.index, message, effects)
+  replyToAppend(state, from, true, message.index, message, effects)
 }
 
-function onAppendReply (state: State, from: string, message: MessageOf<'append-reply'>, now: number, effects: Effect[]): void {
-  const progress = state.progress[from]
-  if (state.role !== 'leader' || message.term !== state.hardState.term || progress === undefined) return
-  progress.ackedAt = Math.max(progress.ackedAt, message.sentAt)
-  progress.acknowledgedRound = Math.max(progress.acknowledgedRound, message.round)
+/** Adds a part to the snapshot that arrives. A part that does not follow the ones before it is left out; the reply tells the leader where to go on. */
+function receivePart (state: State, from: string, { index, snapshotTerm, length, offset, text }: MessageOf<'snapshot'>): IncomingSnapshot {
+  const { incoming } = state
+  const isSame = incoming?.from === from && incoming.index === index && incoming.term === snapshotTerm && incoming.length === length
+  const known = isSame ? incoming : { from, index, term: snapshotTerm, length, text: '' }
+  if (known.text.length === offset) known.text += text
+  state.incoming = known
+  return known
+}
+
+function installSnapshot (state: State, snapshot: Snapshot, effects: Effect[]): void {
+  const matchesLog = termAt(state, snapshot.index) === snapshot.term
+  state.entries = matchesLog ? entriesFrom(state, snapshot.index + 1, Infinity) : []
+  state.snapshot = snapshot
+  state.commit = snapshot.index
+  effects.push({ type: 'snapshot', snapshot, entries: state.entries, restore: true })
+}
+
+/** Returns the progress of a member whose reply concerns the current term of this leader. */
+function progressOf (state: State, from: string, term: number): Progress | undefined {
+  return state.role === 'leader' && term === state.hardState.term ? state.progress[from] : undefined
+}
+
+function acknowledge (state: State, progress: Progress, { sentAt, round }: { sentAt: number, round: number }, effects: Effect[]): void {
+  progress.ackedAt = Math.max(progress.ackedAt, sentAt)
+  progress.acknowledgedRound = Math.max(progress.acknowledgedRound, round)
   confirmReads(state, effects)
-  progress.snapshotRetryAt = -Infinity
+}
+
+function onSnapshotReply (state: State, from: string, message: MessageOf<'snapshot-reply'>, now: number, effects: Effect[]): void {
+  const progress = progressOf(state, from, message.term)
+  if (progress === undefined) return
+  acknowledge(state, progress, message, effects)
+  recordReply(progress, message.sentAt, () => true, now)
+  if (progress.transfer?.snapshot.index === message.index) progress.transfer.received = message.received
+  replicate(state, from, now, effects)
+}
+
+function onAppendReply (state: State, from: string, message: MessageOf<'append-reply'>, now: number, effects: Effect[]): void {
+  const progress = progressOf(state, from, message.term)
+  if (progress === undefined) return
+  acknowledge(state, progress, message, effects)
+  recordReply(progress, message.sentAt, ({ match }) => !message.ok || message.match >= match, now)
   if (!message.ok) {
     const next = Math.max(progress.matchIndex + 1, Math.min(progress.nextIndex - 1, message.match + 1))
     if (next === progress.nextIndex) return // The follower lost acknowledged entries; the next heartbeat probes it again.
     progress.nextIndex = next
-    return sendAppend(state, from, now, effects)
+    replicate(state, from, now, effects)
+    return
   }
   progress.matchIndex = Math.max(progress.matchIndex, message.match)
   progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1)
+  if (progress.transfer !== null && progress.matchIndex >= progress.transfer.snapshot.index) progress.transfer = null
   advanceCommit(state, now, effects)
-  if (progress.nextIndex <= lastIndex(state)) sendAppend(state, from, now, effects)
+  replicate(state, from, now, effects)
 }
 
 function advanceCommit (state: State, now: number, effects: Effect[]): void {
--- a/src/core/consensus/log.ts
+++ b/src/core/consensus/log.ts
@@ -22,6 +22,29 @@
   return state.entries.slice(start, start + count)
 }
 
+/** Returns the size of an entry's payload as JSON, in characters. */
+export function bytesOf (entry: Entry): number {
+  entry.bytes ??= JSON.stringify(entry.payload).length
+  return entry.bytes
+}
+
+/** Returns the size of the payloads of all entries from `index` on, in characters. */
+export function bytesFrom (state: State, index: number): number {
+  return entriesFrom(state, index, Infinity).reduce((sum, entry) => sum + bytesOf(entry), 0)
+}
+
+/** Returns entries from `index` on, at most `count` and, beyond the first, at most `maxBytes` in total. */
+export function entriesWithin (state: State, index: number, count: number, maxBytes: number): Entry[] {
+  const entries: Entry[] = []
+  let bytes = 0
+  for (const entry of entriesFrom(state, index, count)) {
+    bytes += bytesOf(entry)
+    if (entries.length > 0 && bytes > maxBytes) break
+    entries.push(entry)
+  }
+  return entries
+}
+
 /** Returns the newest member list in the log, committed or not. */
 export function membersOf (state: State): Member[] {
   for (let position = state.entries.length - 1; position >= 0; position--) {
--- a/src/core/consensus/types.ts
+++ b/src/core/consensus/types.ts
@@ -15,6 +15,8 @@
   /** Identifies the proposal at the leader that appended it. */
   id: string
   payload: Payload
+  /** Size of the payload as JSON, in characters; missing until it is first needed. */
+  bytes?: number
 }
 
 /** Content of a log entry. */
@@ -34,7 +36,8 @@
   index: number
   term: number
   members: Member[]
-  state: unknown
+  /** The state as text; null before the first entry. */
+  state: string | null
 }
 
 /** Data loaded from storage at start. */
@@ -51,7 +54,10 @@
   | { type: 'vote', term: number, lastIndex: number, lastTerm: number, transfer: boolean }
   | { type: 'vote-reply', term: number, granted: boolean }
   | { type: 'append', term: number, previousIndex: number, previousTerm: number, entries: Entry[], commit: number, sentAt: number, round: number }
-  | { type: 'snapshot', term: number, snapshot: Snapshot, sentAt: number, round: number }
+  /** The part of a snapshot that begins at `offset`; offset and length count characters of its whole state. */
+  | { type: 'snapshot', term: number, index: number, snapshotTerm: number, members: Member[], offset: number, length: number, text: string, sentAt: number, round: number }
+  /** Reply to a part of a snapshot that is not complete: the characters received from the start on. */
+  | { type: 'snapshot-reply', term: number, index: number, received: number, sentAt: number, round: number }
   | { type: 'append-reply', term: number, ok: boolean, match: number, sentAt: number, round: number }
   | { type: 'timeout-now', term: number }
 
@@ -62,6 +68,8 @@
   | { type: 'propose', id: string, command: unknown }
   | { type: 'change-members', id: string, members: Member[] }
   | { type: 'compact', snapshot: Snapshot }
+  /** A message to a member that was sent at `sentAt` did not arrive. */
+  | { type: 'undelivered', to: string, sentAt: number }
   | { type: 'transfer' }
   /** Requests a confirmation that this instance is still the leader, based only on messages sent after this event. */
   | { type: 'read', id: string }
@@ -89,8 +97,30 @@
   ackedAt: number
   /** Newest acknowledged read round. */
   acknowledgedRound: number
-  /** Earliest time for another snapshot; -Infinity when none is unacknowledged. */
-  snapshotRetryAt: number
+  /** The message with entries or a part of a snapshot that is on the way to the member. */
+  inFlight: InFlight | null
+  /** The snapshot that the member receives in parts, with the number of characters that it has confirmed. */
+  transfer: { snapshot: Snapshot, received: number } | null
+}
+
+/** A message on the way to a member. */
+export interface InFlight {
+  /** Time of sending, which replies echo. */
+  sentAt: number
+  /** Time until which its reply can still come. */
+  answerableUntil: number
+  /** Index of the last entry that the member has once the message is answered. */
+  match: number
+  bytes: number
+}
+
+/** A snapshot of which a part has arrived from the leader. */
+export interface IncomingSnapshot {
+  from: string
+  index: number
+  term: number
+  length: number
+  text: string
 }
 
 /** State of the consensus core of one instance. */
@@ -108,6 +138,7 @@
   /** Time of the last message from the leader of the current term. */
   leaderMessageAt: number
   progress: Record<string, Progress>
+  incoming: IncomingSnapshot | null
   /** Number of the newest read round. Not a clock reading, because the clock stops while the machine is suspended. */
   readRound: number
   /** Reads whose round no quorum has acknowledged yet. */
--- a/src/core/control/control.ts
+++ b/src/core/control/control.ts
@@ -18,7 +18,7 @@
 import { createAdminServer, credentialHash } from './api.ts'
 import { reconcileMembers } from './reconcile.ts'
 import { createGroup } from './group.ts'
-import type { Group } from './group.ts'
+import type { Group, SendMessage } from './group.ts'
 import { openIdentity } from './identity.ts'
 import { startRateGrants } from './rates.ts'
 import { createNodeReports } from './reports.ts'
@@ -90,8 +90,8 @@
       return result
     },
     save: () => JSON.stringify(registry),
-    restore (state: unknown) {
-      registry = JSON.parse(state as string) as Registry
+    restore (state: string) {
+      registry = JSON.parse(state) as Registry
       peers.installConfiguration(configurationOf(registry), registry.deltas)
     }
   }
@@ -157,12 +157,13 @@
 type Count = Environment['metrics']['count']
 
 /** Creates a function that sends consensus messages without waiting for the result. A joining instance has no member list yet and finds the recipients by gossip. */
-function createMessageSender (id: string, peers: Peers, members: () => Array<{ id: string, address: string }>, count: Count) {
-  return (to: string, message: Message) => {
+function createMessageSender (id: string, peers: Peers, members: () => Array<{ id: string, address: string }>, count: Count): SendMessage {
+  return (to, message, onLost) => {
     const recipient = members().find((member) => member.id === to) ?? peers.members().find((member) => member.id === to && member.role === 'control')
-    if (recipient === undefined) return
+    if (recipient === undefined) return queueMicrotask(onLost)
     const { address } = recipient
     void peers.rpc.call(address, 'consensus', { from: id, to, message }, messageTimeoutMs).then((result) => {
+      if (!result.ok) onLost()
       count(`consensus_messages_total{outcome="${result.ok ? 'sent' : 'lost'}"}`)
     })
   }
--- a/src/core/control/group.ts
+++ b/src/core/control/group.ts
@@ -18,8 +18,8 @@
 /** State machine to which the group applies its committed commands. */
 export interface StateMachine {
   apply: (command: unknown) => unknown
-  save: () => unknown
-  restore: (state: unknown) => void
+  save: () => string
+  restore: (state: string) => void
 }
 
 /** Consensus of one instance, connected to its storage and its network. */
@@ -40,13 +40,16 @@
   close: () => void
 }
 
-/** Creates the group from the stored state, in a process that started at `startedAt`. `send` must not block. */
+/** Sends a message to a member without waiting, and calls `onLost` if it did not arrive. */
+export type SendMessage = (to: string, message: Message, onLost: () => void) => void
+
+/** Creates the group from the stored state, in a process that started at `startedAt`. */
 export function createGroup (
   id: string,
   stored: Stored,
   store: LogStore,
   machine: StateMachine,
-  send: (to: string, message: Message) => void,
+  send: SendMessage,
   environment: Environment,
   startedAt = environment.clock.now()
 ): Group {
@@ -78,12 +81,15 @@
       case 'snapshot':
         if (effect.restore) restoreSnapshot(effect.snapshot)
         break
-      case 'send': send(effect.to, effect.message); break
+      case 'send': sendMessage(effect.to, effect.message); break
       case 'apply': applyEntry(effect.entry); break
       case 'confirm': resolveProposal(effect.id, { ok: true, value: null }); break
       case 'refuse': resolveProposal(effect.id, fail('noLeader', { reason: effect.reason })); break
     }
   })
+  const sendMessage = (to: string, message: Message) => send(to, message, () => {
+    if ('sentAt' in message) handleEvent({ type: 'undelivered', to, sentAt: message.sentAt })
+  })
   /** Takes no part in consensus until the refused write succeeds. */
   const waitForStorage = () => {
     const failedAt = clock.now()
@@ -102,7 +108,7 @@
     pendingProposals.delete(proposalId)
   }
   const restoreSnapshot = (snapshot: Snapshot) => {
-    machine.restore(snapshot.state)
+    if (snapshot.state !== null) machine.restore(snapshot.state)
     members = snapshot.members
     appliedIndex = snapshot.index
     appliedTerm = snapshot.term
--- a/test/control/group.test.ts
+++ b/test/control/group.test.ts
@@ -16,7 +16,7 @@
   assert.ok(opened.ok)
   const { store, stored } = opened.value
   const applied: unknown[] = []
-  const machine = { apply: (command: unknown) => applied.push(command), save: () => null, restore () {} }
+  const machine = { apply: (command: unknown) => applied.push(command), save: () => '', restore () {} }
   const environment = { clock: systemClock, random: createRandom(1), log: createLog(true), metrics: createMetrics() }
   return { disk, applied, group: createGroup('a', stored, store, machine, () => {}, environment) }
 }
