--- a/src/core/control/control.ts
+++ b/src/core/control/control.ts
@@ -3,7 +3,7 @@
 import type { Hash } from '../claims/index.ts'
 import { scopes } from '../config/index.ts'
 import type { Change } from '../config/index.ts'
-import { holdsLease, hasCommittedInTerm, membersOf } from '../consensus/index.ts'
+import { holdsLease, hasCommittedInTerm, membersOf, totalBytes } from '../consensus/index.ts'
 import type { Message, Snapshot } from '../consensus/index.ts'
 import { fail, succeed } from '../errors/index.ts'
 import type { Outcome } from '../errors/index.ts'
@@ -131,6 +131,9 @@
   const adminAddress = await listen(server, options.admin)
   metrics.gauge('consensus_term', () => group.state.hardState.term)
   metrics.gauge('consensus_commit', () => group.state.commit)
+  metrics.gauge('consensus_log_entries', () => group.state.entries.length)
+  metrics.gauge('consensus_log_bytes', () => totalBytes(group.state.entries))
+  metrics.gauge('consensus_in_flight_bytes', () => Object.values(group.state.progress).reduce((sum, { inFlight }) => sum + (inFlight?.bytes ?? 0), 0))
   metrics.gauge('storage_failing', () => group.storageFailure() === undefined ? 0 : 1)
   log.info('control instance started', { id, joins, peer: peers.address, admin: adminAddress, revision: registry.revision })
 
--- a/src/core/rpc/constants.ts
+++ b/src/core/rpc/constants.ts
@@ -4,5 +4,5 @@
 /** Header that carries the signature of a message between processes. */
 export const signatureHeader = 'x-dogwoodspring-signature'
 
-/** Largest JSON-RPC message, in bytes. */
-export const maxRpcBytes = 64 * 1024 * 1024
+/** Largest JSON-RPC message, in bytes: room for one change of the largest configuration. */
+export const maxRpcBytes = 24 * 1024 * 1024
--- a/test/control/odd-documents.test.ts
+++ b/test/control/odd-documents.test.ts
@@ -2,7 +2,9 @@
 import type { Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { test } from 'node:test'
+import { setTimeout as pause } from 'node:timers/promises'
 import { createOperatorServer } from '../../platform/operator.ts'
+import { configuration } from '../platform/machines.ts'
 import { createAdminServer } from '../../src/core/control/api.ts'
 import type { Control } from '../../src/core/control/index.ts'
 import type { AdminRequest } from '../../src/core/control/types.ts'
@@ -63,3 +65,26 @@
     assert.equal(administered.length, 0)
   })
 })
+
+test('many large configurations at once are refused and not held in memory, and later ones are served', async () => {
+  let release = () => {}
+  const released = new Promise<void>((resolve) => { release = resolve })
+  let running = 0
+  const administer = async () => {
+    running++
+    await released
+    return { status: 200, body: {} }
+  }
+  await withServer(createOperatorServer({ administer } as unknown as Control), async (url) => {
+    const document = { ...configuration(1, 's'), padding: 'x'.repeat(3_900_000) }
+    const replace = () => send(`${url}/-/rpc?call=config.replace`, 'POST', JSON.stringify(document), { 'x-dogwoodspring-base-version': '0' })
+    const statuses: number[] = []
+    const replies = [...Array(8).keys()].map(async () => statuses.push((await replace()).status))
+    for (let waitedMs = 0; waitedMs < 800 && (statuses.length < 4 || running < 4); waitedMs += 20) await pause(20)
+    assert.deepEqual([statuses, running], [[503, 503, 503, 503], 4])
+    release()
+    await Promise.all(replies)
+    assert.deepEqual(statuses.slice(4), [200, 200, 200, 200])
+    assert.equal((await replace()).status, 200)
+  })
+})
