--- a/src/core/node/announcement.ts
+++ b/src/core/node/announcement.ts
@@ -36,6 +36,22 @@
   accept: (next: Incarnation | undefined, now: number) => boolean
   /** Records that another process answered at the address, so that the known one is gone. */
   release: () => void
+  /**
+   * Records that a process has deregistered, after which none of its announcements counts, in whatever order they arrive. Without `bornAt` the known process
+   * of that id is meant, and it counts again if it goes on announcing itself. Returns true if it is the known process.
+   */
+  depart: (instance: string, bornAt: number | undefined) => boolean
+}
+
+/** Number of deregistered processes that are remembered; servers at one address follow each other seconds apart. */
+const maxDepartures = 32
+
+/** A process that has deregistered. */
+interface Departure {
+  instance: string
+  bornAt: number
+  /** False if the message did not say which process of that id it means. */
+  isCertain: boolean
 }
 
 /** A process whose announcements count as outdated, with the last of them. */
@@ -60,6 +76,7 @@
   let knownAt = -Infinity
   let isReleased = false
   let outdated: Outdated | undefined
+  const departures: Departure[] = []
 
   const isGoingOn = (next: Incarnation, now: number): boolean => {
     if (outdated === undefined || !isSameProcess(next, outdated.incarnation)) {
@@ -70,10 +87,16 @@
     outdated.incarnation = next
     return now - outdated.since >= lifeMs && now - knownAt >= lifeMs
   }
+  const isOutdated = (next: Incarnation | undefined, now: number): boolean => {
+    const departure = departures.find(({ instance, bornAt }) => instance === next?.instance && bornAt === next.bornAt)
+    if (departure?.isCertain === true) return true
+    const replacesGone = isReleased && next?.instance !== known?.instance
+    if (departure === undefined && (replacesGone || isNewerIncarnation(next, known))) return false
+    return next === undefined || !isGoingOn(next, now)
+  }
   return {
     accept (next, now) {
-      const replacesGone = isReleased && next?.instance !== known?.instance
-      if (!replacesGone && !isNewerIncarnation(next, known) && !(next !== undefined && isGoingOn(next, now))) return false
+      if (isOutdated(next, now)) return false
       known = next
       knownAt = now
       isReleased = false
@@ -82,6 +105,14 @@
     },
     release () {
       isReleased = true
+    },
+    depart (instance, bornAt) {
+      const isKnown = known?.instance === instance && (bornAt ?? known.bornAt) === known.bornAt
+      const departedBornAt = isKnown ? known?.bornAt : bornAt
+      if (departedBornAt === undefined) return false
+      departures.push({ instance, bornAt: departedBornAt, isCertain: bornAt !== undefined })
+      if (departures.length > maxDepartures) departures.shift()
+      return isKnown
     }
   }
 }
--- a/src/core/node/target.ts
+++ b/src/core/node/target.ts
@@ -72,7 +72,10 @@
    * heard of gets no requests: an earlier process of this node may have acknowledged that long ago.
    */
   announce: (announcement: Announcement) => boolean
-  /** Deregisters the target, which still serves requests for the drain time. Returns false when another process is registered. */
+  /**
+   * Deregisters a process of the target, which still serves requests for the drain time; its announcements that arrive later are outdated.
+   * Returns false when another process is registered.
+   */
   withdraw: (instance: string, bornAt: number | undefined) => boolean
   current: () => Target | undefined
   /** Returns the id of the target's current process; undefined where targets do not identify their processes. */
@@ -131,7 +134,10 @@
   return {
     gate,
     announce (announcement) {
-      if (!order.accept(announcement.incarnation, clock.now())) return false
+      if (!order.accept(announcement.incarnation, clock.now())) {
+        log.info('outdated announcement ignored', { state: announcement.state, ...announcement.incarnation, known: lastAnnouncement?.incarnation })
+        return false
+      }
       const isSameProcess = lastAnnouncement?.incarnation?.instance === announcement.incarnation?.instance
       const isKnown = lastAnnouncement !== undefined && isSameProcess
       const wasUp = target !== undefined && target.state !== 'down' && isSameProcess
@@ -150,8 +156,9 @@
       return true
     },
     withdraw (instance, bornAt) {
-      const known = lastAnnouncement?.incarnation
-      if (known?.instance !== instance || (bornAt ?? known.bornAt) !== known.bornAt) return false
+      const isKnown = order.depart(instance, bornAt)
+      log.info('target deregistered', { instance, bornAt, isKnown, state: target?.state })
+      if (!isKnown) return false
       startDraining()
       if (target?.state === 'up') publish({ ...target, state: 'leaving' })
       return true
--- a/test/node/target.test.ts
+++ b/test/node/target.test.ts
@@ -65,6 +65,48 @@
   assert.equal(target.acceptsRequests(), false)
 }))
 
+test('a late announcement does not bring back a target that has deregistered', () => withOwnTarget((target, time) => {
+  target.announce(announcement('i-1', 10, 1))
+  target.withdraw('i-1', 10)
+  time.now = 1000
+  for (const sequence of [2, 3, 9]) assert.equal(target.announce(announcement('i-1', 10, sequence)), false)
+  assert.equal(target.current()?.state, 'leaving')
+  time.now = drainMs
+  assert.equal(target.acceptsRequests(), false)
+  assert.equal(target.announce(announcement('i-1', 20, 1)), true)
+  assert.deepEqual([target.current()?.state, target.acceptsRequests()], ['up', true])
+}))
+
+test('a target whose deregistration arrives before its first announcement gets no request', () => withOwnTarget((target) => {
+  target.announce(announcement('i-1', 10, 5))
+  assert.equal(target.withdraw('i-1', 20), false)
+  assert.equal(target.announce(announcement('i-1', 20, 1)), false)
+  assert.deepEqual([target.current()?.state, target.acceptsRequests()], ['up', true])
+}))
+
+test('a late deregistration of an earlier process does not take a later one out', () => withOwnTarget((target) => {
+  target.announce(announcement('i-1', 20, 1))
+  assert.equal(target.withdraw('i-1', 10), false)
+  assert.equal(target.announce(announcement('i-1', 20, 2)), true)
+  assert.equal(target.acceptsRequests(), true)
+}))
+
+test('a late ready does not end the drain of a target that reported leaving', () => withOwnTarget((target, time) => {
+  target.announce(announcement('i-1', 10, 1))
+  target.announce(announcement('i-1', 10, 3, 'leaving'))
+  time.now = drainMs
+  assert.equal(target.announce(announcement('i-1', 10, 2)), false)
+  assert.equal(target.acceptsRequests(), false)
+}))
+
+test('a deregistration that does not name a process takes out no target that goes on announcing itself for good', () => withOwnTarget((target, time) => {
+  target.announce(announcement('i-1', 10, 1))
+  target.withdraw('i-1', undefined)
+  assert.equal(target.announce(announcement('i-1', 10, 2)), false)
+  for (time.now = 1000; time.now < 30_000; time.now += 1000) target.announce(announcement('i-1', 10, time.now))
+  assert.equal(target.acceptsRequests(), true)
+}))
+
 test('outdated messages of an earlier process or the same process are ignored', () => withOwnTarget((target) => {
   target.announce(announcement('i-2', 20, 5))
   assert.equal(target.announce(announcement('i-1', 10, 99, 'leaving')), false)
