--- a/src/core/node/crashes.ts
+++ b/src/core/node/crashes.ts
@@ -1,6 +1,7 @@
 import { setTimeout as pause } from 'node:timers/promises'
 import type { Environment, Peers } from '../peers/index.ts'
 import { createCompletedFingerprints, completedRecently, recordCompleted } from '../quarantine/index.ts'
+import { createTargetWatch } from './target-watch.ts'
 import type { OwnTarget } from './target.ts'
 
 const reportTimeoutMs = 800
@@ -17,12 +18,24 @@
 /** Longest time that the other nodes of the service get to confirm a ban, in milliseconds. */
 const confirmTimeoutMs = 800
 
+/** Time for which a target may go on with an abandoned request after its deadline, in milliseconds. */
+const abandonedMarginMs = 2000
+
+/** Abandoned requests that are kept for the report of a crash. */
+const maxAbandoned = 1000
+
 /** Detects that the node's own target ended, and reports the requests that it was running. */
 export interface CrashReporter {
   /** Records a completed request, which exonerates its fingerprint for some time. */
   recordCompletion: (fingerprint: string) => void
   /** Checks the target after the connection of a running request broke. Resolves true when the target has ended. */
   checkForCrash: (fingerprint: string) => Promise<boolean>
+  /**
+   * Records that this node no longer waits for a request that the target has begun and may go on with until `deadlineAt`, in ms of the clock. If the
+   * target ends before that, it crashed while it ran this request.
+   */
+  recordAbandoned: (fingerprint: string, deadlineAt: number) => void
+  close: () => void
 }
 
 /** Creates the crash reporter of one node. Requests whose connections break during one check are reported as one crash. */
@@ -30,6 +43,8 @@
   const completions = createCompletedFingerprints()
   let crashCount = 0
   let pendingCheck: { fingerprints: Set<string>, result: Promise<boolean> } | undefined
+  /** Requests that the target may still run although their exchange has ended, with the time until which that is so. */
+  const abandoned = new Map<string, number>()
 
   const callControl = async (method: string, params: unknown): Promise<{ address: string, banRevision?: number } | undefined> => {
     for (const address of peers.controlAddresses()) {
@@ -63,9 +78,15 @@
     if (unconfirmed > 0) log.warn('nodes have not confirmed a ban', { nodes: unconfirmed })
   }
   const checkTarget = async (fingerprints: Set<string>) => {
+    const mayEnd = target.mayEnd()
     const alive = await target.probe()
     pendingCheck = undefined
     if (alive) return false
+    for (const fingerprint of takeAbandoned()) fingerprints.add(fingerprint)
+    if (mayEnd) {
+      log.info('target ended as planned', { running: fingerprints.size })
+      return true
+    }
     const crashId = `${peers.boot}/${++crashCount}`
     metrics.count('target_crashes_total')
     log.warn('target ended with requests running', { running: fingerprints.size })
@@ -73,6 +94,22 @@
     if (reportedFingerprints.length > 0) await Promise.race([reportCrash(reportedFingerprints, crashId), pause(callersWaitMs, undefined, { ref: false })])
     return true
   }
+  /** Removes the abandoned requests and returns those that the target may have run until now. */
+  const takeAbandoned = (): string[] => {
+    const now = clock.now()
+    const running = [...abandoned].filter(([, until]) => now < until).map(([fingerprint]) => fingerprint)
+    abandoned.clear()
+    watch.close()
+    return running
+  }
+  const startCheck = () => {
+    if (pendingCheck === undefined) {
+      const fingerprints = new Set<string>()
+      pendingCheck = { fingerprints, result: checkTarget(fingerprints) }
+    }
+    return pendingCheck
+  }
+  const watch = createTargetWatch(clock, () => void startCheck())
   peers.onConfigurationChange((configuration) => {
     for (const fingerprint of Object.keys(configuration.bans)) {
       if (completedRecently(completions, fingerprint, clock.now())) void callControl('control.exonerate', { fingerprint })
@@ -81,12 +118,20 @@
   return {
     recordCompletion: (fingerprint) => recordCompleted(completions, fingerprint, clock.now()),
     checkForCrash (fingerprint) {
-      if (pendingCheck === undefined) {
-        const fingerprints = new Set<string>()
-        pendingCheck = { fingerprints, result: checkTarget(fingerprints) }
-      }
-      pendingCheck.fingerprints.add(fingerprint)
-      return pendingCheck.result
-    }
+      const check = startCheck()
+      check.fingerprints.add(fingerprint)
+      return check.result
+    },
+    recordAbandoned (fingerprint, deadlineAt) {
+      const address = target.address()
+      if (address === undefined) return
+      const until = deadlineAt + abandonedMarginMs
+      abandoned.delete(fingerprint)
+      abandoned.set(fingerprint, until)
+      const [oldest] = abandoned.keys()
+      if (abandoned.size > maxAbandoned) abandoned.delete(oldest)
+      watch.extend(address, until)
+    },
+    close: watch.close
   }
 }
--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -221,6 +221,7 @@
       claimHolder.close()
       forwarder.close()
       peerSessions.close()
+      crashes.close()
       await target.close()
       await peers.close()
       log.info('node stopped', { id })
--- a/src/core/node/serve.ts
+++ b/src/core/node/serve.ts
@@ -292,6 +292,7 @@
     }
     const headSent = error.answered && sink.started()
     if (headSent) sink.abort()
+    if (error.cause !== 'broken') crashes.recordAbandoned(fingerprint, call.deadlineAt)
     const crashed = error.cause === 'broken' && await crashes.checkForCrash(fingerprint)
     const sample = error.cause === 'cancelled' ? undefined : { failed: true }
     if (headSent) return { outcome: { type: 'broken', report: createReport(call, span) } satisfies AttemptOutcome, sample }
--- a/src/core/node/target.ts
+++ b/src/core/node/target.ts
@@ -82,6 +82,10 @@
   instance: () => string | undefined
   /** Returns true while new requests may be sent to the target. */
   acceptsRequests: () => boolean
+  /** Returns true once the target may end as planned: it has announced that it leaves, and its drain time is over. */
+  mayEnd: () => boolean
+  /** Returns the address of the target, host:port; undefined before its first announcement. */
+  address: () => string | undefined
   pool: () => Pool | undefined
   origin: () => string
   gate: Gate
@@ -166,6 +170,8 @@
     current: () => target,
     instance: () => lastAnnouncement?.incarnation?.instance,
     acceptsRequests: () => target !== undefined && target.state !== 'down' && clock.now() < drainedAt,
+    mayEnd: () => clock.now() >= drainedAt,
+    address: () => lastAnnouncement?.address,
     pool: () => pool,
     origin: () => `http://${lastAnnouncement?.address ?? ''}`,
     async probe () {
--- a/test/node/crashes.test.ts
+++ b/test/node/crashes.test.ts
@@ -1,9 +1,14 @@
 import assert from 'node:assert/strict'
+import { createServer } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import { test } from 'node:test'
+import { setTimeout as pause } from 'node:timers/promises'
 import { systemClock as clock } from '../../src/core/clock/index.ts'
 import { silentLog } from '../../src/core/log/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
 import { createCrashReporter } from '../../src/core/node/crashes.ts'
+import type { CrashReporter } from '../../src/core/node/crashes.ts'
+import { createOwnTarget } from '../../src/core/node/target.ts'
 import type { OwnTarget } from '../../src/core/node/target.ts'
 import { createPeers } from '../../src/core/peers/index.ts'
 import type { Peers } from '../../src/core/peers/index.ts'
@@ -12,7 +17,7 @@
 
 const service = 's'
 const published = { service, slots: 4, connections: 6, state: 'up' as const, startedAt: 1 }
-const endedTarget = { current: () => published, probe: () => Promise.resolve(false) } as unknown as OwnTarget
+const endedTarget = { current: () => published, mayEnd: () => false, probe: () => Promise.resolve(false) } as unknown as OwnTarget
 const environment = { clock, random: createRandom(1), log: silentLog, metrics: createMetrics() }
 
 function join (id: string, role: 'control' | 'node', seeds: string[]): Promise<Peers> {
@@ -70,3 +75,84 @@
   await createCrashReporter(second, endedTarget, environment).checkForCrash('f')
   assert.deepEqual(Object.keys(third.configuration().bans), ['f'])
 }))
+
+const drainMs = 50
+
+/** Runs `use` with the crash reporter of a node whose target listens, and a function that ends the target. */
+async function withLiveTarget (peers: Peers, use: (reporter: CrashReporter, target: OwnTarget, end: () => void, sockets: Set<Socket>) => Promise<void>): Promise<void> {
+  const sockets = new Set<Socket>()
+  const server = createServer((socket) => {
+    sockets.add(socket.on('error', () => {}))
+    socket.resume()
+  })
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  const end = () => {
+    server.close()
+    for (const socket of sockets) socket.destroy()
+  }
+  const target = createOwnTarget(peers, environment, { drainMs, adaptiveLimit: false })
+  const reporter = createCrashReporter(peers, target, environment)
+  try {
+    target.announce(announcement(server.address() as AddressInfo, 1))
+    await use(reporter, target, end, sockets)
+  } finally {
+    reporter.close()
+    end()
+    await target.close()
+  }
+}
+
+function announcement ({ port }: AddressInfo, sequence: number, state: 'up' | 'leaving' = 'up') {
+  return { service, address: `127.0.0.1:${port}`, slots: 4, connections: 6, state, incarnation: { instance: 'i', bornAt: 1, sequence } }
+}
+
+const bansOf = (peers: Peers) => Object.keys(peers.configuration().bans)
+
+test('a request whose callers left before it ended two targets is banned', { timeout: 20_000 }, () => withNodes(async (nodes, third) => {
+  for (const node of nodes) {
+    await withLiveTarget(node, async (reporter, target, end) => {
+      reporter.recordAbandoned('f', clock.now() + 1000)
+      await pause(200)
+      end()
+      await until(() => target.current()?.state === 'down')
+      await pause(300)
+    })
+  }
+  await until(() => bansOf(third).includes('f'))
+}))
+
+test('a target that only closes an idle connection counts as no crash', { timeout: 20_000 }, () => withNodes(async ([node], _, control) => {
+  await withLiveTarget(node, async (reporter, target, _end, sockets) => {
+    reporter.recordAbandoned('f', clock.now() + 1000)
+    await until(() => sockets.size > 0)
+    for (const socket of sockets) socket.destroy()
+    await pause(400)
+    assert.equal(target.current()?.state, 'up')
+  })
+  assert.equal(control.configuration().revision, 0)
+}))
+
+test('a target that ends after its drain bans no request that ran there', { timeout: 20_000 }, () => withNodes(async (nodes, _, control) => {
+  for (const node of nodes) {
+    await withLiveTarget(node, async (reporter, target, end, sockets) => {
+      reporter.recordAbandoned('f', clock.now() + 1000)
+      await until(() => sockets.size > 0)
+      target.withdraw('i', 1)
+      await pause(2 * drainMs)
+      end()
+      assert.equal(await reporter.checkForCrash('g'), true)
+    })
+  }
+  assert.equal(control.configuration().revision, 0)
+}))
+
+test('a request that was abandoned long before the end of its target is not banned for it', { timeout: 20_000 }, () => withNodes(async (nodes, _, control) => {
+  for (const node of nodes) {
+    await withLiveTarget(node, async (reporter, _target, end) => {
+      reporter.recordAbandoned('f', clock.now() - 60_000)
+      end()
+      await reporter.checkForCrash('g')
+    })
+  }
+  assert.deepEqual(bansOf(control), ['g'])
+}))
--- a/test/node/raw-path.ts
+++ b/test/node/raw-path.ts
@@ -125,7 +125,7 @@
     peers,
     target,
     claims: {} as unknown as ClaimClient,
-    crashes: { recordCompletion () {}, checkForCrash: async () => false },
+    crashes: { recordCompletion () {}, checkForCrash: async () => false, recordAbandoned () {}, close () {} },
     spans: createSpans(),
     dependencies: createDependencies(clock),
     reportedFractions: createReportedFractions(),
--- a/test/node/serve.test.ts
+++ b/test/node/serve.test.ts
@@ -103,11 +103,11 @@
 }
 
 /** Sends one call to the call server under test. */
-type Serve = (id: string, context?: Partial<CallContext>, received?: Received) => Promise<{ outcome: AttemptOutcome, received: Received }>
+type Serve = (id: string, context?: Partial<CallContext>, received?: Received, leavesAfterMs?: number) => Promise<{ outcome: AttemptOutcome, received: Received }>
 
 /** Creates a call server for a raw target, with fakes for the rest of the node. */
 async function withTarget (
-  answer: Answer, use: (serve: Serve, connections: readonly Socket[]) => Promise<void>, dialect: Dialect = defaultDialect, claims: Partial<ClaimClient> = {}, log: Log = silentLog
+  answer: Answer, use: (serve: Serve, connections: readonly Socket[]) => Promise<void>, dialect: Dialect = defaultDialect, claims: Partial<ClaimClient> = {}, log: Log = silentLog, abandoned: string[] = []
 ): Promise<void> {
   const raw = await startRaw(answer)
   const { port } = raw.address() as AddressInfo
@@ -125,11 +125,12 @@
   const environment = { clock: systemClock, random: createRandom(1), log, metrics: createMetrics() }
   const requestLog = createRequestLog('n', log, environment.metrics, systemClock)
   const decisions = createDecisions({ requestLog, dialect, target, clock: systemClock, directory: { limitOf: () => undefined }, rates: {} as RateClient, revision: () => 1 })
-  const crashes = { recordCompletion () {}, checkForCrash: async () => false }
+  const crashes = { recordCompletion () {}, checkForCrash: async () => false, recordAbandoned: (fingerprint: string) => void abandoned.push(fingerprint), close () {} }
   const server = createCallServer({ dependencies: createDependencies(systemClock), reportedFractions: createReportedFractions(), dialect, findKeyFailure: () => undefined, mayBegin: () => true, peers, target, claims: claims as ClaimClient, crashes, spans: createSpans(), decisions, environment })
   try {
-    await use(async (id, context = {}, received = createReceived()) => {
+    await use(async (id, context = {}, received = createReceived(), leavesAfterMs = Infinity) => {
       const call = createCall(id)
+      if (leavesAfterMs < Infinity) setTimeout(call.cancellation.cancel, leavesAfterMs)
       const outcome = await server.serve({ ...call, context: { ...call.context, ...context } }, createSink(received))
       return { outcome, received }
     }, connections)
@@ -554,3 +555,14 @@
     { id: 'reused', event: 'claim_refused', code: undefined, targetService: undefined, claim: 'key-reused' }
   ])
 })
+
+test('a request that its target has begun and goes on with is kept for the report of a crash, whoever ended the exchange', async () => {
+  const abandoned: string[] = []
+  const answers: Answer = (request, socket) => idOf(request) === 'answered' && void socket.write(completeAnswer('a'))
+  await withTarget(answers, async (serve) => {
+    await serve('left', { fingerprint: 'left' }, createReceived(), 50)
+    await serve('late', { fingerprint: 'late' })
+    await serve('answered', { fingerprint: 'answered' })
+  }, defaultDialect, {}, silentLog, abandoned)
+  assert.deepEqual(abandoned, ['left', 'late'])
+})
