--- a/test/platform/machines.ts
+++ b/test/platform/machines.ts
@@ -43,6 +43,8 @@
   /** Port for traffic between processes, the same on all machines. */
   peerPort: number
   isRunning: (name: string) => boolean
+  /** Returns the process id of a core or a sidecar. */
+  pidOf: (name: string) => number
   /** Opens a connection of a caller that has sent nothing yet. Resolves undefined when the sidecar accepts none. */
   connect: (sidecar: number) => Promise<OpenCaller | undefined>
   readyStatus: (sidecar: number) => Promise<number>
@@ -195,6 +197,7 @@
     sendHeartbeatText: (sidecar, id, body) => sendCall(`http://${sidecarIp(sidecar)}:${control}${callPath}?call=instances.heartbeat&of=${id}`, { method: 'POST', body }),
     peerPort: peer,
     isRunning: (name) => children.get(name)?.child.exitCode === null && children.get(name)?.child.signalCode === null,
+    pidOf: (name) => children.get(name)?.child.pid ?? 0,
     connect: openConnection,
     readyStatus: async (sidecar) => (await sendCall(`http://${sidecarIp(sidecar)}:${ready}/-/ready`, { method: 'GET' })).status,
     logOf: (name) => children.get(name)?.log.join('') ?? '',
