--- a/src/cli/runtime.ts
+++ b/src/cli/runtime.ts
@@ -15,8 +15,8 @@
 /** Creates the environment of a long-running process. */
 export function createEnvironment (jsonLog: boolean): Environment {
   const metrics = createMetrics()
-  metrics.gauge('process_resident_memory_bytes', () => process.memoryUsage.rss())
-  metrics.gauge('process_heap_used_bytes', () => process.memoryUsage().heapUsed)
+  metrics.gauge('resident_bytes', () => process.memoryUsage.rss())
+  metrics.gauge('heap_used_bytes', () => process.memoryUsage().heapUsed)
   const writer = createStandardWriter(jsonLog, systemClock, (lines) => metrics.count('log_lines_lost_total', lines))
   return { clock: systemClock, random: createUnpredictableRandom(), log: createLog(jsonLog, writer), metrics }
 }
--- a/src/core/errors/catalogue.ts
+++ b/src/core/errors/catalogue.ts
@@ -131,6 +131,13 @@
     message: ({ limit }) => `the request body is larger than ${limit} bytes`,
     hint: 'Send a smaller body.'
   }),
+  noBodyRoom: defineEntry({
+    name: 'no_body_room',
+    title: 'No room for the body',
+    status: 503,
+    message: () => 'the node holds as many large request bodies as fit its memory',
+    hint: 'Send again after the time in Retry-After.'
+  }),
   stale: defineEntry<{ ageMs: number }>({
     name: 'stale_configuration',
     title: 'Stale configuration',
--- a/src/core/node/entry.ts
+++ b/src/core/node/entry.ts
@@ -1,9 +1,10 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { digest, randomId } from '../auth/index.ts'
+import { randomId } from '../auth/index.ts'
 import type { EffectiveParameters, EffectiveRoute } from '../config/index.ts'
 import { invariant } from '../errors/index.ts'
 import { fingerprintOf } from '../quarantine/index.ts'
 import { createBudget } from '../retries/index.ts'
+import type { ReadBody } from './body.ts'
 import { inProgressPriority, waitFraction } from './constants.ts'
 import type { RequestEnd } from './decisions.ts'
 import type { CallerRequest, Dialect } from './dialect.ts'
@@ -29,20 +30,14 @@
     parameters: defaultParameters,
     rateCountedAt: undefined,
     idempotencyKey: undefined,
-    body: Buffer.alloc(0)
+    body: undefined
   }
 }
 
-/** Returns a digest over the method, path and body of a request. */
-export function requestDigest (method: string, path: string, body: Buffer): string {
-  return digest(Buffer.concat([Buffer.from(`${method} ${path}\n`), body]))
-}
-
-function createCall (arrival: Arrival, route: EffectiveRoute, inProgress: boolean, dialect: Dialect, now: number): Call {
-  const { identity, parameters, method, path, body, idempotencyKey, request, callerRequest } = arrival
+function createCall (arrival: Arrival, { bytes, digest }: ReadBody, route: EffectiveRoute, inProgress: boolean, dialect: Dialect, now: number): Call {
+  const { identity, parameters, method, path, idempotencyKey, request, callerRequest } = arrival
   const workspace = route.open ? null : identity?.workspace ?? null
   const chain = randomId()
-  const bodyDigest = requestDigest(method, path, body)
   const timeoutMs = requestTimeoutMs(route, callerRequest)
   return {
     context: {
@@ -59,8 +54,8 @@
       idempotent: route.idempotent,
       needsClaim: !route.idempotent && !dialect.singleEntry,
       host: dialect.configuredBy === 'deployment' ? callerRequest.host : null,
-      digest: bodyDigest,
-      fingerprint: fingerprintOf({ workspace: workspace ?? '', route: route.name, method, path, bodyDigest }),
+      digest,
+      fingerprint: fingerprintOf({ workspace: workspace ?? '', route: route.name, method, path, bodyDigest: digest }),
       suspect: false,
       resendable: idempotencyKey !== undefined,
       depth: 0,
@@ -71,7 +66,7 @@
     method,
     path,
     headers: dialect.requestHeaders(request.rawHeaders, workspace),
-    body,
+    body: bytes,
     deadlineAt: now + timeoutMs,
     cancellation: createCancellation()
   }
@@ -84,13 +79,22 @@
 
 /** Serves one request of a caller that was read at `arrivedAt`, and writes its answer or refusal. */
 export async function serveCaller (request: IncomingMessage, response: ServerResponse, arrivedAt: number, context: EntryContext): Promise<void> {
-  const { dialect, decisions, environment: { clock, metrics } } = context
+  const { dialect, decisions } = context
   const parsed = dialect.read(request)
   if (!parsed.ok) {
     decisions.refuseArrival(createArrival(request, { host: '', key: undefined, timeLeftMs: undefined, fromTargetAddress: false }), parsed, arrivedAt)
     return dialect.writeRefusal(response, { failure: parsed, run: 'not-run', retryAfterMs: 0 })
   }
   const arrival = createArrival(request, parsed.value)
+  try {
+    await serveArrival(arrival, response, arrivedAt, context)
+  } finally {
+    arrival.body?.release()
+  }
+}
+
+async function serveArrival (arrival: Arrival, response: ServerResponse, arrivedAt: number, context: EntryContext): Promise<void> {
+  const { dialect, decisions, environment: { clock, metrics } } = context
   for (const filter of filters[dialect.configuredBy]) {
     const pending = filter(arrival, context)
     const checked = pending instanceof Promise ? await pending : pending
@@ -99,9 +103,9 @@
     decisions.refuseArrival(arrival, checked, arrivedAt)
     return context.refusals.refuseArrival(response, checked, arrival)
   }
-  invariant(arrival.route !== undefined, 'the filters passed a request without a route')
+  invariant(arrival.route !== undefined && arrival.body !== undefined, 'the filters passed a request without a route or a body')
   const inProgress = isCallInProgress(arrival, context)
-  const call = createCall(arrival, arrival.route, inProgress, dialect, arrivedAt)
+  const call = createCall(arrival, arrival.body, arrival.route, inProgress, dialect, arrivedAt)
   call.isExpectedRetry = !inProgress && context.refusals.matchExpectedRetry(call.context.fingerprint)
   if (inProgress) context.dependencies.recordCall(calleeKey(call.context))
   if (response.destroyed) call.cancellation.cancel()
--- a/src/core/node/filters.ts
+++ b/src/core/node/filters.ts
@@ -6,7 +6,9 @@
 import type { RateClient } from '../rate/client.ts'
 import type { CallSender } from './attempts.ts'
 import { readBody } from './body.ts'
-import { maxBodyBytes, ownPathPrefix } from './constants.ts'
+import type { ReadBody } from './body.ts'
+import type { BodyBudget } from './body-budget.ts'
+import { maxBodyBytes, ownPathPrefix, waitFraction } from './constants.ts'
 import type { Decisions } from './decisions.ts'
 import type { Dependencies } from './dependencies.ts'
 import type { CallerRequest, Dialect } from './dialect.ts'
@@ -33,7 +35,8 @@
   /** Time at which the request was counted against the rate of its workspace; missing when it was not counted. */
   rateCountedAt: number | undefined
   idempotencyKey: string | undefined
-  body: Buffer
+  /** The body, once it has been received. */
+  body: ReadBody | undefined
 }
 
 /** Services and state that the filters use. */
@@ -45,6 +48,7 @@
   callSender: CallSender
   dependencies: Dependencies
   refusals: Refusals
+  bodyBudget: BodyBudget
   findKeyFailure: KeyCheck
   /** Returns false for a request that this node no longer begins because it stops. */
   mayBegin: (request: StoppingRequest) => boolean
@@ -136,9 +140,10 @@
   return accepted
 }
 
-async function receiveBody (arrival: Arrival, { directory, dialect }: EntryContext): Promise<Outcome<null>> {
+async function receiveBody (arrival: Arrival, { directory, dialect, bodyBudget: budget }: EntryContext): Promise<Outcome<null>> {
   const deployed = dialect.configuredBy === 'deployment' ? directory.deployment()?.deployment.limits.bodyBytes : undefined
-  const reading = readBody(arrival.request, deployed ?? maxBodyBytes)
+  const waitMs = arrival.route === undefined ? 0 : waitFraction * requestTimeoutMs(arrival.route, arrival.callerRequest)
+  const reading = readBody(arrival.request, { maxBytes: deployed ?? maxBodyBytes, budget, waitMs })
   const body = reading instanceof Promise ? await reading : reading
   if (!body.ok) return body
   arrival.body = body.value
@@ -167,7 +172,7 @@
 }
 
 function checkBodyForKeys ({ body }: Arrival): Outcome<null> {
-  if (body.length > 0 && containsKey(body.toString('latin1'))) {
+  if (body !== undefined && body.bytes.length > 0 && containsKey(body.bytes.toString('latin1'))) {
     return fail('badRequest', { reason: 'a key may be sent in the Authorization header only, not in the body' })
   }
   return accepted
--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -15,8 +15,9 @@
 import type { Announcement } from './announcement.ts'
 import { createBacklog, hasLeft } from './backlog.ts'
 import type { Backlog } from './backlog.ts'
-import { callerKeepAliveMs, contextHeader, leaveGraceMs, maxHeaderBytes, ownPathPrefix } from './constants.ts'
+import { callerKeepAliveMs, contextHeader, leaveGraceMs, maxHeaderBytes, maxPeerBodyBytes, ownPathPrefix } from './constants.ts'
 import { createCrashReporter } from './crashes.ts'
+import { createBodyBudget } from './body-budget.ts'
 import { serveCaller } from './entry.ts'
 import { createDecisions } from './decisions.ts'
 import { createDependencies } from './dependencies.ts'
@@ -119,8 +120,9 @@
   })
   const callSender = createCallSender(peers, server, forwarder, options.fleetRetries ?? Infinity, reportedFractions, decisions, environment)
   const refusals = createRefusals(claims, dialect, random, clock)
-  const entryContext = { dialect, dependencies, peers, directory, rates, callSender, refusals, findKeyFailure, mayBegin, decisions, environment }
-  const outgoingContext = { dialect, dependencies, findKeyFailure, peers, directory, spans, callSender, refusals, mayBegin, decisions, environment }
+  const bodyBudget = createBodyBudget(maxPeerBodyBytes)
+  const entryContext = { dialect, dependencies, peers, directory, rates, callSender, refusals, bodyBudget, findKeyFailure, mayBegin, decisions, environment }
+  const outgoingContext = { dialect, dependencies, findKeyFailure, peers, directory, spans, callSender, refusals, bodyBudget, mayBegin, decisions, environment }
   const backlog = createBacklog(clock)
   const running = createRunningRequests(clock)
 
@@ -148,7 +150,7 @@
     const id = headerOf(headers, dialect.requestIdHeader)
     void work.catch(logUnexpectedError).then(running.begin({ id, source: 'node', giveUp }))
   }
-  const peerSessions = servePeerCalls(peers, server, trackPeerCall, environment)
+  const peerSessions = servePeerCalls(peers, server, trackPeerCall, bodyBudget, environment)
   const serveEntry = (request: IncomingMessage, response: ServerResponse) => {
     const arrivedAt = clock.now()
     trackResponse(request, response, () => serveCaller(request, response, arrivedAt, entryContext))
@@ -166,9 +168,9 @@
   const localAddress = await listen(localServer, options.local)
   metrics.gauge('stopping', () => stop === undefined ? 0 : 1)
   metrics.gauge('requests_running', running.count)
+  metrics.gauge('bodies_held_bytes', bodyBudget.usedBytes)
   metrics.gauge('running', () => target.gate.running())
   metrics.gauge('limit', () => target.gate.limit())
-  metrics.gauge('resident_bytes', () => process.memoryUsage.rss())
   log.info('node started', { id, domain, listen: listenAddress, peer: peers.address, local: localAddress })
 
   /** Reports to the leader which configuration revision this node applies, for `status`. */
--- a/src/core/node/outgoing.ts
+++ b/src/core/node/outgoing.ts
@@ -6,8 +6,9 @@
 import { fingerprintOf } from '../quarantine/index.ts'
 import type { CallSender } from './attempts.ts'
 import { readBody } from './body.ts'
-import { contextHeader, maxBodyBytes, maxDepth } from './constants.ts'
-import { requestDigest } from './entry.ts'
+import type { ReadBody } from './body.ts'
+import type { BodyBudget } from './body-budget.ts'
+import { contextHeader, maxBodyBytes, maxDepth, waitFraction } from './constants.ts'
 import type { Decisions } from './decisions.ts'
 import type { Dependencies } from './dependencies.ts'
 import type { Dialect } from './dialect.ts'
@@ -32,6 +33,7 @@
   callSender: CallSender
   dependencies: Dependencies
   refusals: Refusals
+  bodyBudget: BodyBudget
   /** Returns false for a call that this node no longer begins because it stops. */
   mayBegin: (call: StoppingRequest) => boolean
   decisions: Decisions
@@ -39,7 +41,7 @@
 }
 
 /** Creates an outgoing call within the limits of the context of the request that makes it. Returns a failure if the call may not run. */
-function createOutgoingCall (request: IncomingMessage, span: Span, body: Buffer, context: OutgoingContext): Call | Failure {
+function createOutgoingCall (request: IncomingMessage, span: Span, { bytes, digest: bodyDigest }: ReadBody, context: OutgoingContext): Call | Failure {
   const { directory, environment } = context
   const parent = span.context
   const now = environment.clock.now()
@@ -55,7 +57,6 @@
   const route = parent.workspace === null ? routes.findOpen(method, pathname) : routes.find(parent.workspace, method, pathname) ?? routes.findOpen(method, pathname)
   if (route === undefined) return fail('unknownRoute', { method, path: pathname })
   const headers = context.dialect.requestHeaders(request.rawHeaders, parent.workspace)
-  const bodyDigest = requestDigest(method, path, body)
   const idempotencyKey = headerOf(headers, 'idempotency-key')
   const occurrence = countOccurrence(span, `${route.name}/${bodyDigest}`)
   const deadlineAt = Math.min(span.deadlineAt, now + route.timeoutMs)
@@ -85,7 +86,7 @@
     method,
     path,
     headers,
-    body,
+    body: bytes,
     deadlineAt,
     cancellation: createCancellation()
   }
@@ -101,8 +102,9 @@
     writeFailure(response, failure, 'not-run')
   }
   if (span === undefined) return refuse(fail('badRequest', { reason: `${contextHeader} names no request that runs here` }))
-  const body = await readBody(request, maxBodyBytes)
+  const body = await readBody(request, { maxBytes: maxBodyBytes, budget: context.bodyBudget, waitMs: waitFraction * (span.deadlineAt - startedAt) })
   if (!body.ok) return refuse(body)
+  response.once('close', body.value.release)
   const outgoingCall = createOutgoingCall(request, span, body.value, context)
   if ('ok' in outgoingCall) return refuse(outgoingCall)
   const stopListening = span.cancellation.listen(() => outgoingCall.cancellation.cancel())
--- a/src/core/node/peer-calls.ts
+++ b/src/core/node/peer-calls.ts
@@ -3,12 +3,13 @@
 import { fail } from '../errors/index.ts'
 import type { Environment, Peers } from '../peers/index.ts'
 import { decodeOpening, encodeHead, encodeUnanswered } from './call-codec.ts'
+import type { BodyBudget, Release } from './body-budget.ts'
 import type { CallOpening } from './call-codec.ts'
-import { maxPeerBodyBytes } from './constants.ts'
+import { maxPeerBodyBytes, waitFraction } from './constants.ts'
 import type { CallServer } from './serve.ts'
 import { unansweredOf } from './sinks.ts'
 import { createCancellation, emptyReport } from './types.ts'
-import type { AttemptOutcome, Call, Sink } from './types.ts'
+import type { AttemptOutcome, Call, CallContext, Sink } from './types.ts'
 
 /** The answer to a forwarded call, on the stream of the node that forwarded it. */
 interface Reply {
@@ -60,30 +61,66 @@
 /** Counts a forwarded call with the headers of its request as running until `work` ends. `giveUp` ends it without waiting for its answer. */
 export type TrackCall = (headers: readonly string[], work: Promise<void>, giveUp: () => void) => void
 
-/** Receives the complete body of a call. `resolveCall` gets the call, or undefined if its stream ended before that. */
-function receiveCall (opening: CallOpening, deadlineAt: number, stream: Stream, resolveCall: (call: Call | undefined) => void): StreamListener {
+/** A call with its complete body, or why there is none: its stream ended before that, or this node has no room for its body. */
+type Received = { type: 'call', call: Call, release: Release } | { type: 'ended' } | { type: 'no-room' }
+
+/** Receives the complete body of a call once there is room for it. Until then the other node may send no more than the window of its stream. */
+function receiveCall (opening: CallOpening, deadlineAt: number, stream: Stream, budget: BodyBudget, resolve: (received: Received) => void): StreamListener {
   const { context, method, path, headers, bodyBytes } = opening
   const cancellation = createCancellation()
-  const pieces: Uint8Array[] = []
+  const waiting: Array<{ piece: Uint8Array, consumed: () => void }> = []
+  let body: Buffer | undefined
+  let release: Release = () => {}
   let received = 0
-  let isComplete = false
+  let isEnded = false
+  let isSettled = false
+  const settle = (result: Received) => {
+    if (isSettled) return
+    isSettled = true
+    if (result.type !== 'call') release()
+    resolve(result)
+  }
   const cancelCall = () => {
     cancellation.cancel()
-    if (isComplete) return
+    if (isSettled) return
     stream.reset()
-    resolveCall(undefined)
+    settle({ type: 'ended' })
+  }
+  const add = (piece: Uint8Array) => {
+    if (received + piece.length <= bodyBytes) body?.set(piece, received)
+    received += piece.length
   }
+  const completeWhenEnded = () => {
+    if (!isEnded || body === undefined || isSettled) return
+    if (received !== bodyBytes) return cancelCall()
+    settle({ type: 'call', call: { context, method, path, headers, body, deadlineAt, cancellation }, release })
+  }
+  const begin = (granted: Release | undefined) => {
+    if (granted === undefined) return settle({ type: 'no-room' })
+    if (isSettled) return granted()
+    release = granted
+    body = Buffer.allocUnsafe(bodyBytes)
+    for (const { piece, consumed } of waiting) {
+      add(piece)
+      consumed()
+    }
+    waiting.length = 0
+    completeWhenEnded()
+  }
+  const reserved = budget.reserve(bodyBytes, waitFraction * context.remainingMs)
+  if (reserved instanceof Promise) void reserved.then(begin)
+  else begin(reserved)
   return {
     message () {},
     bytes (piece, consumed) {
-      received += piece.length
-      if (received <= bodyBytes) pieces.push(piece)
+      if (isSettled) return consumed()
+      if (body === undefined) return void waiting.push({ piece, consumed })
+      add(piece)
       consumed()
     },
     end () {
-      if (received !== bodyBytes) return cancelCall()
-      isComplete = true
-      resolveCall({ context, method, path, headers, body: Buffer.concat(pieces), deadlineAt, cancellation })
+      isEnded = true
+      completeWhenEnded()
     },
     reset: cancelCall,
     dialerDisconnected: cancelCall,
@@ -91,24 +128,38 @@
   }
 }
 
+/** Returns the refusal of a call for whose body there is no room; another node may have it. */
+function refuseBody ({ service }: CallContext): AttemptOutcome & { type: 'refused' } {
+  return { type: 'refused', failure: fail('overloaded', { service, reason: 'no room for the body' }), elsewhere: true, arrived: false, report: emptyReport }
+}
+
 /**
  * Serves the calls that other nodes forward. A call whose node is gone is cancelled. A non-idempotent call keeps
  * running at the target, and its answer is kept for a while in case that node reconnects.
  */
-export function servePeerCalls (peers: Peers, server: CallServer, track: TrackCall, { clock, metrics }: Environment): SessionServer {
+export function servePeerCalls (peers: Peers, server: CallServer, track: TrackCall, budget: BodyBudget, { clock, metrics }: Environment): SessionServer {
   const serve = async (call: Call, reply: Reply): Promise<void> => {
     const outcome = await server.serve(call, reply.sink)
     if (outcome.type !== 'answered') reply.report(outcome)
   }
+  const serveReceived = async (received: Received, { context }: CallOpening, reply: Reply, stream: Stream): Promise<void> => {
+    if (received.type === 'ended') return
+    if (received.type === 'no-room') {
+      metrics.count('peer_bodies_refused_total')
+      reply.report(refuseBody(context))
+      return stream.reset() // The other node drops the rest of the body.
+    }
+    await serve(received.call, reply).finally(received.release)
+  }
   /** Tracks a call from its first message on: its caller expects an answer, so a stop also waits for calls whose body is still arriving. */
-  const trackFromOpening = ({ headers }: CallOpening, createListener: (resolveCall: (call: Call | undefined) => void) => StreamListener, stream: Stream): StreamListener => {
-    let resolveCall: (call: Call | undefined) => void = () => {}
-    const received = new Promise<Call | undefined>((resolve) => {
-      resolveCall = resolve
+  const trackFromOpening = (opening: CallOpening, createListener: (resolve: (received: Received) => void) => StreamListener, stream: Stream): StreamListener => {
+    let resolveReceived: (received: Received) => void = () => {}
+    const receiving = new Promise<Received>((resolve) => {
+      resolveReceived = resolve
     })
     const reply = createReply(stream)
-    track(headers, received.then((call) => call && serve(call, reply)), () => reply.report(givenUp))
-    return createListener(resolveCall)
+    track(opening.headers, receiving.then((received) => serveReceived(received, opening, reply, stream)), () => reply.report(givenUp))
+    return createListener(resolveReceived)
   }
   const accept: StreamAcceptor = (value, stream) => {
     const opening = decodeOpening(value)
@@ -118,7 +169,7 @@
       return noopListener
     }
     const deadlineAt = clock.now() + opening.context.remainingMs
-    return trackFromOpening(opening, (resolveCall) => receiveCall(opening, deadlineAt, stream, resolveCall), stream)
+    return trackFromOpening(opening, (resolve) => receiveCall(opening, deadlineAt, stream, budget, resolve), stream)
   }
   const sessions = createSessionServer({ sealer: peers.sealer, clock, accept, onSent: (host, bytes) => peers.traffic.record(host, 'answer', bytes) })
   peers.onUpgrade(sessions.upgrade)
--- a/test/node/peer-calls.test.ts
+++ b/test/node/peer-calls.test.ts
@@ -11,6 +11,7 @@
 import { createMetrics } from '../../src/core/metrics/index.ts'
 import { decodeReply, encodeOpening } from '../../src/core/node/call-codec.ts'
 import { createTraffic } from '../../src/core/peers/index.ts'
+import { createBodyBudget } from '../../src/core/node/body-budget.ts'
 import { servePeerCalls } from '../../src/core/node/peer-calls.ts'
 import type { TrackCall } from '../../src/core/node/peer-calls.ts'
 import type { CallServer } from '../../src/core/node/serve.ts'
@@ -36,7 +37,7 @@
 }
 
 /** Opens an upload to a node. `use` gets the stream, the number of tracked calls, and the ends that the caller received. */
-async function upload (use: (stream: Stream, active: () => number, ends: string[], received: Received) => Promise<void>, serve = answerAtOnce): Promise<void> {
+async function upload (use: (stream: Stream, active: () => number, ends: string[], received: Received) => Promise<void>, serve = answerAtOnce, budget = createBodyBudget(1024 * 1024)): Promise<void> {
   const http = createServer()
   let active = 0
   const peers = { sealer, traffic: createTraffic('', createMetrics()), onUpgrade: (handler: (request: IncomingMessage, socket: Socket, head: Buffer) => void) => void http.on('upgrade', handler) } as unknown as Peers
@@ -48,7 +49,7 @@
     void work.then(() => active--)
   }
   const environment = { clock, random: createRandom(1), log: silentLog, metrics: createMetrics() }
-  const sessions = servePeerCalls(peers, { serve, running: () => 0 }, track, environment)
+  const sessions = servePeerCalls(peers, { serve, running: () => 0 }, track, budget, environment)
   await new Promise<void>((resolve) => http.listen(0, '127.0.0.1', resolve))
   const dialer = createDialer({ sealer, clock, metrics: createMetrics(), onConnectionFailed () {}, onSent () {} })
   const context = { attempt: 'a', chain: 'a', lineage: 'a', remainingMs: 3000 } as CallContext
@@ -107,3 +108,14 @@
     }
   }))
 })
+
+test('a call for whose body there is no room is refused as not run, and its node sends no more of it', () => {
+  const budget = createBodyBudget(1024 * 1024)
+  for (let count = 0; count < 32; count++) budget.reserve(1024 * 1024, 0)
+  return upload(async (stream, active, ends, { messages }) => {
+    const isSent = stream.bytes(Buffer.alloc(1024 * 1024))
+    await pause(900)
+    assert.match(JSON.stringify(messages), /"refused".*no room/)
+    assert.deepEqual([isSent, active(), ends], [false, 0, ['end', 'reset']])
+  }, answerAtOnce, budget)
+})
--- a/test/node/raw-path.ts
+++ b/test/node/raw-path.ts
@@ -12,6 +12,7 @@
 import { createConnector } from '../../src/core/http/index.ts'
 import { silentLog } from '../../src/core/log/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
+import { createBodyBudget } from '../../src/core/node/body-budget.ts'
 import { readBody } from '../../src/core/node/body.ts'
 import { createDependencies } from '../../src/core/node/dependencies.ts'
 import { defaultDialect } from '../../src/core/node/dialect.ts'
@@ -132,7 +133,7 @@
     decisions: createSilentDecisions(dialect),
     environment
   })
-  const sessions = servePeerCalls(peers, server, () => {}, environment)
+  const sessions = servePeerCalls(peers, server, () => {}, createBodyBudget(1024 * 1024), environment)
   const peerAddress = `127.0.0.1:${await listenAnywhere(peerServer)}`
   const forwarder = createForwarder(peers, environment)
   const refusals = createRefusals({} as unknown as ClaimClient, dialect, createRandom(1), clock)
@@ -151,9 +152,9 @@
     }
   }
   const serve = async (request: IncomingMessage, response: ServerResponse) => {
-    const body = await readBody(request, 1024)
+    const body = await readBody(request, { maxBytes: 1024, budget: createBodyBudget(1024), waitMs: 0 })
     if (!body.ok) return dialect.writeRefusal(response, { failure: body, run: 'not-run', retryAfterMs: 0 })
-    const call = createCall(request, body.value)
+    const call = createCall(request, body.value.bytes)
     const sink = createResponseSink(response)
     const outcome = path.isForwarded ? await forwarder.forward(peerAddress, call, 0, sink) : await server.serve(call, sink)
     path.outcomes.push(outcome)
