--- a/scripts/support/cluster.ts
+++ b/scripts/support/cluster.ts
@@ -1,9 +1,9 @@
 import { execFile } from 'node:child_process'
 import { mkdtempSync, rmSync } from 'node:fs'
-import { createServer } from 'node:net'
-import type { AddressInfo } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
+import { takeLoopbackNetwork } from './loopback.ts'
+import type { LoopbackNetwork } from './loopback.ts'
 import { startChild } from './process.ts'
 import type { Child } from './process.ts'
 
@@ -44,6 +44,8 @@
 /** A cluster of separate processes on loopback addresses. */
 export interface Cluster {
   folder: string
+  /** Addresses that no other environment uses: group 1 for control instances, groups 10 and on for nodes. */
+  network: LoopbackNetwork
   controls: Child[]
   nodesWithTargets: NodeWithTarget[]
   adminAddresses: () => string
@@ -60,26 +62,12 @@
   stop: () => Promise<void>
 }
 
-/** Finds a free port on an address. */
-export function findFreePort (host: string): Promise<number> {
-  return new Promise((resolve, reject) => {
-    const server = createServer()
-    server.once('error', reject)
-    server.listen(0, host, () => {
-      const { port } = server.address() as AddressInfo
-      server.close(() => resolve(port))
-    })
-  })
-}
-
 /** Starts a cluster with `controlCount` control instances, distributed over the failure domains in order. */
 export async function createCluster (domains: readonly string[], controlCount = 3): Promise<Cluster> {
   const folder = mkdtempSync(join(tmpdir(), 'dogwoodspring-'))
+  const network = await takeLoopbackNetwork()
   const peers = new Map<string, string>()
-  for (let index = 0; index < controlCount; index++) {
-    const host = `127.1.${index + 1}.1`
-    peers.set(`c${index + 1}`, `${host}:${await findFreePort(host)}`)
-  }
+  for (let number = 1; number <= controlCount; number++) peers.set(`c${number}`, `${network.host(1, number)}:${network.nextPort()}`)
   const members = [...peers].map(([id, address]) => `${id}=${address}`).join(',')
   const seeds = [...peers.values()].join(',')
   const sharedEnvironment = { DOGWOODSPRING_CLUSTER_SECRET: clusterSecret, DOGWOODSPRING_OPERATOR_TOKEN: operatorToken }
@@ -89,13 +77,13 @@
     const position = [...peers.keys()].indexOf(id)
     const child = await startChild(id, binary, [
       'control', '--id', id, '--domain', domains[position % domains.length], '--peer', peers.get(id) ?? '',
-      '--admin', `127.1.${position + 1}.1:0`, '--data', join(folder, id), '--members', members
+      '--admin', `${network.host(1, position + 1)}:0`, '--data', join(folder, id), '--members', members
     ], sharedEnvironment)
     cluster.controls = [...cluster.controls.filter((known) => known.name !== id), child]
     return child
   }
   const startNode = async (name: string, domain: string, earlier?: Child) => {
-    const free = `127.2.${Math.floor(nodeCount / 250)}.${nodeCount++ % 250 + 1}:0`
+    const free = `${network.host(10 + Math.floor(nodeCount / 250), nodeCount++ % 250 + 1)}:0`
     const { listen, peer, local } = earlier?.addresses ?? { listen: free, peer: free, local: free }
     return await startChild(name, binary, ['node', '--id', name, '--domain', domain, '--listen', listen, '--peer', peer, '--local', local, '--seeds', seeds], sharedEnvironment)
   }
@@ -111,6 +99,7 @@
   })
   const cluster: Cluster = {
     folder,
+    network,
     controls: [],
     nodesWithTargets: [],
     adminAddresses: () => cluster.controls.map((child) => child.addresses.admin).join(','),
@@ -142,6 +131,7 @@
       for (const child of children) child.signal('SIGKILL')
       await Promise.all(children.map((child) => child.ended))
       rmSync(folder, { recursive: true, force: true })
+      await network.release()
     }
   }
   await Promise.all([...peers.keys()].map(startControl))
--- a/test/binary/control.test.ts
+++ b/test/binary/control.test.ts
@@ -98,13 +98,13 @@
 })
 
 test('a fourth instance joins, becomes a voter and replaces a lost one', async () => {
-  const { findFreePort: freePort } = await import('../../scripts/support/cluster.ts')
   const { binary, clusterSecret } = await import('../../scripts/support/cluster.ts')
   const { startChild } = await import('../../scripts/support/process.ts')
-  const peer = `127.1.9.1:${await freePort('127.1.9.1')}`
+  const host = cluster.network.host(1, 9)
+  const peer = `${host}:${cluster.network.nextPort()}`
   const seeds = cluster.controls.map((control) => control.addresses.peer).join(',')
   const joined = await startChild('c4', binary, [
-    'control', '--id', 'c4', '--domain', 'odense-a', '--peer', peer, '--admin', '127.1.9.1:0', '--data', join(cluster.folder, 'c4'), '--join', 'true', '--seeds', seeds
+    'control', '--id', 'c4', '--domain', 'odense-a', '--peer', peer, '--admin', `${host}:0`, '--data', join(cluster.folder, 'c4'), '--join', 'true', '--seeds', seeds
   ], { DOGWOODSPRING_CLUSTER_SECRET: clusterSecret })
   cluster.controls.push(joined)
   await cluster.runUntilSuccess('control', 'add', 'c4', peer)
--- a/test/platform/endless-answers.test.ts
+++ b/test/platform/endless-answers.test.ts
@@ -45,7 +45,7 @@
 function sendAndDiscard (machines: Machines, path: string, id: string, reads: boolean, leave: AbortSignal): Promise<void> {
   return new Promise((resolve) => {
     const headers = { host: 'a.example', 'x-dogwoodspring-request-id': id, 'x-dogwoodspring-deadline-ms': '3000', 'x-dogwoodspring-key': 'secret' }
-    const outgoing = httpRequest({ host: '127.0.2.1', port: machines.outboundPort, path, headers, agent: false, signal: leave }, (incoming) => {
+    const outgoing = httpRequest({ host: machines.sidecarIp(1), port: machines.outboundPort, path, headers, agent: false, signal: leave }, (incoming) => {
       incoming.on('error', () => {})
       if (reads) incoming.resume()
     })
--- a/test/platform/late-in-stop.test.ts
+++ b/test/platform/late-in-stop.test.ts
@@ -21,7 +21,7 @@
     const send = async (id: string) => {
       const headers = { host: 'a.example', 'x-dogwoodspring-request-id': id, 'x-dogwoodspring-deadline-ms': id.endsWith('1') || id.endsWith('3') ? '900' : '5000', 'x-dogwoodspring-key': 'secret' }
       try {
-        const reply = await request(`http://127.0.2.1:${machines.outboundPort}/p/x`, { method: 'GET', headers, dispatcher: agent, headersTimeout: 9000, bodyTimeout: 9000 })
+        const reply = await request(`http://${machines.sidecarIp(1)}:${machines.outboundPort}/p/x`, { method: 'GET', headers, dispatcher: agent, headersTimeout: 9000, bodyTimeout: 9000 })
         await reply.body.text()
         replies.set(id, reply.statusCode)
       } catch {
--- a/test/platform/machines.ts
+++ b/test/platform/machines.ts
@@ -3,12 +3,12 @@
 import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs'
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import { connect, createServer as createTcpServer } from 'node:net'
-import type { AddressInfo } from 'node:net'
+import { connect } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { Agent, request } from 'undici'
 import type { Dispatcher } from 'undici'
+import { takeLoopbackNetwork } from '../../scripts/support/loopback.ts'
 
 const program = join(import.meta.dirname, '../../platform/main.ts')
 export const secret = 'cluster-secret-for-tests'
@@ -23,6 +23,10 @@
 
 /** Cores and sidecars as processes on loopback addresses; the test acts as the platform. */
 export interface Machines {
+  coreIp: (number: number) => string
+  sidecarIp: (number: number) => string
+  /** Returns the names of the processes that were started. */
+  names: () => string[]
   /** Port of the sidecars for callers. */
   outboundPort: number
   startCore: (number: number, bootstrap: boolean) => void
@@ -69,14 +73,6 @@
   respondWith: (answer: (request: IncomingMessage, response: ServerResponse) => void) => void
 }
 
-async function freePort (): Promise<number> {
-  const server = createTcpServer()
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
-  const { port } = server.address() as AddressInfo
-  await new Promise((resolve) => server.close(resolve))
-  return port
-}
-
 async function sendCall (url: string, options: Parameters<typeof request>[1]): Promise<Reply> {
   try {
     const answer = await request(url, { headersTimeout: 5000, bodyTimeout: 5000, ...options })
@@ -86,6 +82,18 @@
   }
 }
 
+/** Lines of each log that a failure shows. */
+const shownLogLines = 6
+
+/** Returns the last lines that the processes of all machines that run have logged. */
+export function lastLogLines (): string {
+  const lines = [...running].flatMap((machines) => machines.names().map((name) => `--- ${name}\n${machines.logOf(name).trimEnd().split('\n').slice(-shownLogLines).join('\n')}`))
+  return lines.join('\n')
+}
+
+/** Machines that have not been stopped yet. */
+const running = new Set<Machines>()
+
 /** Repeats `check` until it holds; throws after `withinMs`. */
 export async function eventually (check: () => Promise<boolean>, withinMs = 15_000): Promise<void> {
   const until = performance.now() + withinMs
@@ -93,17 +101,18 @@
     if (await check()) return
     await new Promise((resolve) => setTimeout(resolve, 100))
   }
-  throw new Error('the condition was not met in time')
+  throw new Error(`the condition was not met in ${withinMs} ms: ${String(check)}\n${lastLogLines()}`)
 }
 
-/** Prepares machines with cores at 127.0.1.x and sidecars at 127.0.2.x. */
+/** Prepares machines in a loopback network of their own. */
 export async function createMachines (): Promise<Machines> {
   const folder = mkdtempSync(join(tmpdir(), 'machines-'))
-  const [peer, control, outbound, ready, app] = [await freePort(), await freePort(), await freePort(), await freePort(), await freePort()]
+  const network = await takeLoopbackNetwork()
+  const [peer, control, outbound, ready, app] = [network.nextPort(16), network.nextPort(), network.nextPort(), network.nextPort(), network.nextPort()]
   const children = new Map<string, { child: ChildProcess, ended: Promise<number | null>, log: string[] }>()
   const servers: Server[] = []
-  const coreIp = (number: number) => `127.0.1.${number}`
-  const sidecarIp = (number: number) => `127.0.2.${number}`
+  const coreIp = (number: number) => network.host(1, number)
+  const sidecarIp = (number: number) => network.host(2, number)
   const startProcess = (command: string, name: string, ip: string, changes: object, logDescriptor?: number) => {
     const path = join(folder, `${name}.json`)
     writeFileSync(path, JSON.stringify({
@@ -170,7 +179,10 @@
       }
     }))
   })
-  return {
+  const machines: Machines = {
+    coreIp,
+    sidecarIp,
+    names: () => [...children.keys()],
     outboundPort: outbound,
     startCore (number, bootstrap) {
       const dataFolder = join(folder, `data-${number}`)
@@ -210,8 +222,12 @@
         server.closeAllConnections()
       }
       rmSync(folder, { recursive: true, force: true })
+      running.delete(machines)
+      await network.release()
     }
   }
+  running.add(machines)
+  return machines
 }
 
 /** Builds a configuration with one route to `service` and one key. */
--- a/test/platform/odd-entries.test.ts
+++ b/test/platform/odd-entries.test.ts
@@ -32,17 +32,17 @@
     await eventually(async () => (await machines.replaceConfiguration(1, '0', configuration(3, 'shop'))).status === 200)
     await eventually(async () => (await machines.send(1, '/p/x')).status === 200)
     const target = { service: 'shop', slots: 1e308, connections: 4, state: 'up' as const, startedAt: 1 }
-    const odd = [member('odd-1', '127.0.2.1:99999'), member('odd-2', '127.0.2.1:0', { status: 'suspect' }), member('odd-3', '127.0.2.9:7000', { target })]
+    const odd = [member('odd-1', `${machines.sidecarIp(1)}:99999`), member('odd-2', `${machines.sidecarIp(1)}:0`, { status: 'suspect' }), member('odd-3', `${machines.sidecarIp(9)}:7000`, { target })]
     const packets = [
       Buffer.concat([Buffer.of(38), Buffer.from(`${Date.now()}.n.${'\u00e9'.repeat(22)}`, 'latin1'), codec.pack({})]),
       ...[null, 1e308, { jsonrpc: '2.0', id: 1, error: null }].map(sealed),
-      ...odd.map((entry) => sealed({ jsonrpc: '2.0', method: 'gossip', params: [encodePacket({ type: 'push', from: member('other', '127.0.2.9:7000'), updates: [entry], digest: 0 }), ['x', 1]] }))
+      ...odd.map((entry) => sealed({ jsonrpc: '2.0', method: 'gossip', params: [encodePacket({ type: 'push', from: member('other', `${machines.sidecarIp(9)}:7000`), updates: [entry], digest: 0 }), ['x', 1]] }))
     ]
-    const good = { service: 'shop', address: '127.0.2.2:1', slots: 4, state: 'ready', sequence: 1e6, born: 1_700_000_000_000 }
+    const good = { service: 'shop', address: `${machines.sidecarIp(2)}:1`, slots: 4, state: 'ready', sequence: 1e6, born: 1_700_000_000_000 }
     const heartbeats = [JSON.stringify(good), JSON.stringify({ ...good, slots: 1e308 }), '{"slots":1e400}', '['.repeat(50_000), '{"a":'.repeat(10_000), 'x']
     const statuses: number[] = []
     for (let round = 0; round < 8; round++) {
-      for (const host of ['127.0.1.1', '127.0.1.2', '127.0.1.3', '127.0.2.1', '127.0.2.2']) for (const packet of packets) socket.send(packet, machines.peerPort, host)
+      for (const host of [...[1, 2, 3].map(machines.coreIp), ...[1, 2].map(machines.sidecarIp)]) for (const packet of packets) socket.send(packet, machines.peerPort, host)
       for (const body of heartbeats) assert.equal((await machines.sendHeartbeatText(2, 'i-2', body)).status, 400)
       await caller.sendHeartbeat('ready')
       await called.sendHeartbeat('ready')
--- a/test/platform/path.test.ts
+++ b/test/platform/path.test.ts
@@ -62,7 +62,7 @@
   for (const number of [1, 2, 3]) machines.startCore(number, false)
   await eventually(async () => (await machines.readConfiguration(1)).status === 200)
   assert.deepEqual(JSON.parse((await machines.readConfiguration(1)).text), configuration(5, 'shop'))
-  await eventually(async () => machines.logOf('core-2').concat(machines.logOf('core-3')).includes('"voter":true}]}}') && /after":\[[^\]]*c-127-0-1-1-[0-9a-f]{8}","address":"[^"]*","voter":true/.test(machines.logOf('core-2') + machines.logOf('core-3')))
+  await eventually(async () => machines.logOf('core-2').concat(machines.logOf('core-3')).includes('"voter":true}]}}') && new RegExp(`after":\\[[^\\]]*c-${machines.coreIp(1).replaceAll('.', '-')}-[0-9a-f]{8}","address":"[^"]*","voter":true`).test(machines.logOf('core-2') + machines.logOf('core-3')))
   const [killedNumber] = [2, 3].filter((number) => !machines.logOf(`core-${number}`).includes('"role":"leader"'))
   await machines.kill(`core-${killedNumber ?? 3}`)
   machines.deleteData(killedNumber ?? 3)
--- a/test/platform/request-log.test.ts
+++ b/test/platform/request-log.test.ts
@@ -95,7 +95,7 @@
   server.respondWith(() => {})
   await sendAndRecord('late', '/p/x', { 'x-dogwoodspring-deadline-ms': '300' })
   await pause(1000)
-  const left = httpRequest(`http://127.0.2.1:${machines.outboundPort}/p/x`, { headers: { host: 'a.example', [idHeader]: 'left', 'x-dogwoodspring-key': 'secret', 'x-dogwoodspring-deadline-ms': '2500' } })
+  const left = httpRequest(`http://${machines.sidecarIp(1)}:${machines.outboundPort}/p/x`, { headers: { host: 'a.example', [idHeader]: 'left', 'x-dogwoodspring-key': 'secret', 'x-dogwoodspring-deadline-ms': '2500' } })
   left.on('error', () => {}).end()
   await eventually(async () => server.received.some(({ headers }) => headers[idHeader] === 'left'))
   left.destroy()
--- a/test/platform/stopping.ts
+++ b/test/platform/stopping.ts
@@ -1,6 +1,6 @@
 import { connect } from 'node:net'
 import type { IncomingMessage } from 'node:http'
-import { configuration, createMachines, eventually } from './machines.ts'
+import { configuration, createMachines, eventually, lastLogLines } from './machines.ts'
 import type { AppServer, Machines, Reply } from './machines.ts'
 
 /** Time from SIGTERM to SIGKILL, in ms. */
@@ -21,6 +21,12 @@
   server: AppServer
 }
 
+/** Adds the last lines of the logs to the message of a failed test. */
+function addLogs (error: unknown): never {
+  if (error instanceof Error) error.message += `\n${lastLogLines()}`
+  throw error
+}
+
 /** Starts three cores and two sidecars with one route from the first to the server of the second, whose kind and timeout are given. */
 export async function withServer (use: (setting: Setting) => Promise<void>, kind = 'idempotent', timeout = '9s'): Promise<void> {
   const machines = await createMachines()
@@ -35,7 +41,7 @@
     await eventually(async () => (await machines.replaceConfiguration(1, '0', { ...configuration(3, 'shop'), listeners })).status === 200)
     await eventually(async () => (await machines.send(1, '/p/x', patience)).status === 200)
     const beats = setInterval(() => void server.sendHeartbeat('ready'), 1500)
-    await use({ machines, server }).finally(() => clearInterval(beats))
+    await use({ machines, server }).catch(addLogs).finally(() => clearInterval(beats))
   } finally {
     await machines.stop()
   }
