Logs tell when a request ended within a stop, and what its node knew of the other one's

The lines of a stop named what it gave up, and nothing told whether the node of the other side was stopping too, since when, or which requests were read and never served. Lines about requests have stoppingMs on a stopping node; attempt_ended has stopKnownMs, the time for which its node knew that the other one stops; request_unserved names each request behind a closing answer, which was only counted. Member records carry how long a stop takes, so that other nodes can tell when it ends whatever their clocks say; records of earlier versions are still read (test).

--- a/src/core/log/events.ts
+++ b/src/core/log/events.ts
@@ -32,6 +32,11 @@
   reason: string
 }
 
+/** Time since the stop of the node that writes the line began, in ms; missing while it does not stop. */
+export interface StopTimes {
+  stoppingMs?: number
+}
+
 /** Place of a call in the configuration. */
 interface Callee {
   service: string
@@ -47,7 +52,7 @@
  */
 export const requestEvents = {
   /** A filter of the node at which the request arrived refused it. */
-  requestRefused: defineEvent<Cause & {
+  requestRefused: defineEvent<Cause & StopTimes & {
     method: string
     host: string
     route: string | null
@@ -69,7 +74,7 @@
     expectedRetry: boolean
   }>({ name: 'request_turned_away', message: 'request refused before an attempt' }),
   /** The node of a target refused a call before the target received it. */
-  callRefused: defineEvent<Cause & Callee & {
+  callRefused: defineEvent<Cause & Callee & StopTimes & {
     /** State and service of the node's own target. */
     targetState: string | null
     targetService: string | null
@@ -78,7 +83,7 @@
     timeLeftMs: number
   }>({ name: 'call_refused', message: 'call refused by the node of a target' }),
   /** The queue before a target shed a call. */
-  callShed: defineEvent<Cause & Callee & {
+  callShed: defineEvent<Cause & Callee & StopTimes & {
     shedReason: string
     waitedMs: number
     /** Longest wait that the call allowed; null for the default of the queue. */
@@ -93,7 +98,7 @@
   /** A target reported that it did not run a request. */
   targetRefused: defineEvent<Cause & Callee & { status: number, instance: string | null }>({ name: 'target_refused', message: 'target turned a request away without running it' }),
   /** An exchange with a target ended without a complete answer. */
-  targetFailed: defineEvent<Callee & {
+  targetFailed: defineEvent<Callee & StopTimes & {
     reason: string
     cause: string
     /** The request was passed to a connection, so the target may have run it. */
@@ -105,7 +110,7 @@
     timeLeftMs: number
   }>({ name: 'target_failed', message: 'exchange with a target ended without a complete answer' }),
   /** One attempt ended without an answer; `next` is the decision on what follows. */
-  attemptEnded: defineEvent<Cause & Callee & {
+  attemptEnded: defineEvent<Cause & Callee & StopTimes & {
     to: string
     outcome: string
     next: string
@@ -114,9 +119,11 @@
     budgetLeft: number
     elapsedMs: number
     timeLeftMs: number
+    /** Time since this node learned that the other one stops; missing for one that does not. */
+    stopKnownMs?: number
   }>({ name: 'attempt_ended', message: 'attempt ended without an answer' }),
   /** A request ended without a whole answer, with an error of its target, or without its caller. */
-  requestEnded: defineEvent<Cause & Callee & {
+  requestEnded: defineEvent<Cause & Callee & StopTimes & {
     outcome: string
     status: number | null
     depth: number
@@ -133,6 +140,8 @@
   outgoingRefused: defineEvent<Cause & { depth: number | null, workspace: string | null }>({ name: 'outgoing_refused', message: 'outgoing call of a target refused' }),
   /** The caller had left before its request began. */
   requestAbandoned: defineEvent<{ method: string }>({ name: 'request_abandoned', message: 'caller left before its request began', level: 'info' }),
+  /** A request was read and is not served, because an answer before its own closes their connection. */
+  requestUnserved: defineEvent<StopTimes & { method: string }>({ name: 'request_unserved', message: 'request read behind an answer that closes its connection' }),
   /** A request ended with an error that the program does not expect. */
   requestCrashed: defineEvent<{ error: string }>({ name: 'request_crashed', message: 'request ended with an unexpected error', volume: { lines: 10, bytes: 24 * 1024 } })
 } as const
--- a/src/core/membership/codec.ts
+++ b/src/core/membership/codec.ts
@@ -1,6 +1,6 @@
 import * as v from 'valibot'
 import { isAddress } from '../address/index.ts'
-import { maxCapacity, maxIncarnation, maxTextLength, maxTimestampMs } from './constants.ts'
+import { maxCapacity, maxIncarnation, maxStopMs, maxTextLength, maxTimestampMs } from './constants.ts'
 import { statuses } from './types.ts'
 import type { Member, Packet, Version } from './types.ts'
 
@@ -20,13 +20,14 @@
 const address = v.pipe(text, v.check(isAddress, 'an address is IP:PORT'))
 const targetSchema = v.tuple([text, capacity, capacity, indexOf(targetStates), timestamp])
 const memberSchema = v.tuple([
-  v.pipe(text, v.minLength(1)), timestamp, text, range(0, maxIncarnation), indexOf(statuses), indexOf(roles), text, address, v.nullable(targetSchema), v.boolean()
+  v.pipe(text, v.minLength(1)), timestamp, text, range(0, maxIncarnation), indexOf(statuses), indexOf(roles), text, address, v.nullable(targetSchema), v.boolean(),
+  v.optional(v.nullable(range(0, maxStopMs)), null)
 ])
 const packetSchema = v.tuple([indexOf(packetTypes), v.unknown(), v.array(v.unknown()), count, v.nullable(count), v.nullable(address)])
 
 /**
  * A member record as it is sent: its fields in a fixed order, without their names. id, start (ms), boot, incarnation, status,
- * role, domain, address, target (service, slots, connections, state, start in ms) or null, leaving.
+ * role, domain, address, target (service, slots, connections, state, start in ms) or null, leaving, duration of its stop in ms or null (missing in records of earlier versions).
  */
 export type EncodedMember = v.InferOutput<typeof memberSchema>
 
@@ -38,22 +39,23 @@
 
 /** Encodes a member record. */
 export function encodeMember (member: Member): EncodedMember {
-  const { id, startedAt, boot, incarnation, status, role, domain, address, target, leaving } = member
+  const { id, startedAt, boot, incarnation, status, role, domain, address, target, leaving, stopMs } = member
   const encodedTarget = target && [target.service, target.slots, target.connections, targetStates.indexOf(target.state), target.startedAt] as const
   return [
     id, startedAt, boot, incarnation, statuses.indexOf(status), roles.indexOf(role), domain, address,
-    encodedTarget === undefined ? null : [...encodedTarget], leaving === true
+    encodedTarget === undefined ? null : [...encodedTarget], leaving === true, stopMs ?? null
   ]
 }
 
 function createMember (encoded: EncodedMember): Member {
-  const [id, startedAt, boot, incarnation, status, role, domain, address, target, leaving] = encoded
+  const [id, startedAt, boot, incarnation, status, role, domain, address, target, leaving, stopMs] = encoded
   const member: Member = { id, startedAt, boot, incarnation, status: statuses[status], role: roles[role], domain, address }
   if (target !== null) {
     const [service, slots, connections, state, targetStartedAt] = target
     member.target = { service, slots, connections, state: targetStates[state], startedAt: targetStartedAt }
   }
   if (leaving) member.leaving = true
+  if (stopMs !== null) member.stopMs = stopMs
   return member
 }
 
--- a/src/core/membership/constants.ts
+++ b/src/core/membership/constants.ts
@@ -56,5 +56,8 @@
 /** Largest incarnation in a record. It is far from the largest whole number, so that a process can always add to it. */
 export const maxIncarnation = 2 ** 40
 
+/** Longest duration of a planned stop in a record, in milliseconds: a day. */
+export const maxStopMs = 86_400_000
+
 /** Largest number of slots, and of connections, of a target. */
 export const maxCapacity = 1_000_000
--- a/src/core/membership/core.ts
+++ b/src/core/membership/core.ts
@@ -37,7 +37,7 @@
     case 'packet': onPacket(state, event.packet, event.address, now, random, effects); break
     case 'merge': onMerge(state, event.members, event.domain, now, random, effects); break
     case 'target': changeSelf(state, { target: event.target }, now); break
-    case 'prepare-leave': changeSelf(state, { leaving: true }, now); break
+    case 'prepare-leave': changeSelf(state, { leaving: true, stopMs: event.stopMs }, now); break
     case 'leave': onLeave(state, now, random, effects); break
     case 'unreachable': onUnreachable(state, event.id, now, random, effects); break
   }
--- a/src/core/membership/types.ts
+++ b/src/core/membership/types.ts
@@ -30,6 +30,8 @@
   target?: Target
   /** Whether the process is preparing a planned stop and hands over its state. */
   leaving?: boolean
+  /** Time from the start of a planned stop to its end, in ms. */
+  stopMs?: number
 }
 
 /** Messages of the gossip protocol. */
@@ -49,8 +51,8 @@
   | { type: 'merge', members: readonly Member[], domain: string }
   /** This process's target changed. */
   | { type: 'target', target: Target | undefined }
-  /** This process starts preparing its planned stop. */
-  | { type: 'prepare-leave' }
+  /** This process starts preparing its planned stop, which takes `stopMs` at most. */
+  | { type: 'prepare-leave', stopMs: number }
   | { type: 'leave' }
   /** A connection to the member failed. */
   | { type: 'unreachable', id: string }
--- a/src/core/node/attempts.ts
+++ b/src/core/node/attempts.ts
@@ -8,8 +8,8 @@
 import type { Environment, Peers } from '../peers/index.ts'
 import { createRetryTokens, depositRetryToken, releaseBudget, reserveBudget, mayRetry, divideFleetRetries, consumeAttempt, takeRetryToken } from '../retries/index.ts'
 import type { Budget } from '../retries/index.ts'
-import { chooseTarget, createTargetStats, recordAnswer, recordFailure, statsOf } from '../routing/index.ts'
-import type { Candidate } from '../routing/index.ts'
+import { chooseTarget, createKnownStops, createTargetStats, recordAnswer, recordFailure, statsOf } from '../routing/index.ts'
+import type { Candidate, KnownStop, KnownStops } from '../routing/index.ts'
 import { inProgressPriority } from './constants.ts'
 import type { Decisions, TurnAway } from './decisions.ts'
 import type { Forwarder } from './forward.ts'
@@ -31,6 +31,8 @@
 /** A target with the address of its node. */
 export interface Endpoint extends Candidate {
   address: string
+  /** Planned stop of the node, if it stops. */
+  stop?: KnownStop
 }
 
 function createRefusal (failure: Failure, shed: boolean): AttemptOutcome {
@@ -48,20 +50,20 @@
 }
 
 /** Returns the endpoints of each service: those that are up, else those whose node is suspected, else those that are leaving. */
-export function endpointsByService (members: readonly Member[]): Map<string, Endpoint[]> {
-  const leaving = selectEndpoints(members, ({ target }) => target?.state === 'leaving')
-  const suspected = selectEndpoints(members, ({ target, status }) => target?.state === 'up' && status !== 'alive')
-  const healthy = selectEndpoints(members, ({ target, status }) => target?.state === 'up' && status === 'alive')
+export function endpointsByService (members: readonly Member[], stops: Pick<KnownStops, 'of'>): Map<string, Endpoint[]> {
+  const leaving = selectEndpoints(members, stops, ({ target }) => target?.state === 'leaving')
+  const suspected = selectEndpoints(members, stops, ({ target, status }) => target?.state === 'up' && status !== 'alive')
+  const healthy = selectEndpoints(members, stops, ({ target, status }) => target?.state === 'up' && status === 'alive')
   return new Map([...leaving, ...suspected, ...healthy])
 }
 
-function selectEndpoints (members: readonly Member[], isWanted: (member: Member) => boolean): Map<string, Endpoint[]> {
+function selectEndpoints (members: readonly Member[], stops: Pick<KnownStops, 'of'>, isWanted: (member: Member) => boolean): Map<string, Endpoint[]> {
   const endpoints = new Map<string, Endpoint[]>()
   for (const member of members) {
-    const { id, domain, address, target } = member
+    const { id, boot, domain, address, target } = member
     if (target === undefined || !isWanted(member)) continue
     const known = endpoints.get(target.service) ?? []
-    known.push({ node: id, domain, slots: target.slots, address })
+    known.push({ node: id, domain, slots: target.slots, address, stop: stops.of(boot) })
     endpoints.set(target.service, known)
   }
   return endpoints
@@ -75,6 +77,7 @@
   const statsByNode = createTargetStats()
   const retryTokens = createRetryTokens()
   const throttle = createThrottle()
+  const stops = createKnownStops(clock)
   let endpoints = new Map<string, Endpoint[]>()
   let indexedMembers: readonly Member[] | undefined
   const timer = setInterval(() => pruneThrottle(throttle, clock.now()), pruneEveryMs)
@@ -82,7 +85,8 @@
   const findEndpoints = (service: string): readonly Endpoint[] => {
     const members = peers.members()
     if (members !== indexedMembers) {
-      endpoints = endpointsByService(members)
+      stops.update(members)
+      endpoints = endpointsByService(members, stops)
       divideFleetRetries(retryTokens, fleetRetries, members.filter(({ role }) => role === 'node').length)
     }
     indexedMembers = members
@@ -160,7 +164,10 @@
         if (chosen === undefined) return mayHaveRun ?? createRefusal(fail('noTarget', { service }), false)
         const attemptedAt = clock.now()
         const outcome = await attemptOnce(next, budget, chosen, sink, waitLeft())
-        const logEnd = (what: string) => decisions.endAttempt(call, { to: chosen.node, outcome, next: what, budgetLeft: budget.left, startedAt: attemptedAt })
+        const logEnd = (what: string) => {
+          const stopKnownMs = chosen.stop && clock.now() - chosen.stop.knownAt
+          decisions.endAttempt(call, { to: chosen.node, stopKnownMs, outcome, next: what, budgetLeft: budget.left, startedAt: attemptedAt })
+        }
         /** Ends the call for the given reason. */
         const end = (reason: string) => {
           logEnd(reason)
--- a/src/core/node/decisions.ts
+++ b/src/core/node/decisions.ts
@@ -2,13 +2,14 @@
 import type { ClaimResult } from '../claims/client.ts'
 import type { Clock } from '../clock/index.ts'
 import type { Failure } from '../errors/index.ts'
-import type { LoggedRequest, RequestLog } from '../log/index.ts'
+import type { LoggedRequest, RequestLog, StopTimes } from '../log/index.ts'
 import type { RateClient } from '../rate/client.ts'
 import type { Dialect } from './dialect.ts'
 import type { ExchangeError } from './exchange.ts'
 import type { Arrival } from './filters.ts'
 import { containsKey, headerOf } from './headers.ts'
 import type { Directory } from './identity.ts'
+import type { Stop } from './stop.ts'
 import type { OwnTarget } from './target.ts'
 import type { AttemptOutcome, Call, CallContext } from './types.ts'
 
@@ -39,6 +40,8 @@
 export interface AttemptEnd {
   /** Node to which the attempt was sent. */
   to: string
+  /** Time in ms since this node learned that the other one stops; undefined for one that does not. */
+  stopKnownMs: number | undefined
   outcome: AttemptOutcome
   /** What follows: another attempt, or why there is none. */
   next: string
@@ -68,6 +71,8 @@
   recordUndelivered: (call: Call, end: RequestEnd) => void
   refuseOutgoing: (request: IncomingMessage, parent: CallContext | undefined, failure: Failure) => void
   abandon: (request: IncomingMessage) => void
+  /** Logs a request that was read and is not served, because an answer before its own closes their connection. */
+  leaveUnserved: (request: IncomingMessage) => void
   crash: (request: IncomingMessage, error: Error) => void
 }
 
@@ -79,6 +84,8 @@
   directory: Pick<Directory, 'limitOf'>
   rates: Pick<RateClient, 'state'>
   revision: () => number
+  /** Returns the stop of this node; undefined while it does not stop. */
+  stop: () => Stop | undefined
   clock: Clock
 }
 
@@ -114,7 +121,7 @@
 }
 
 /** Creates the log of a node's decisions. */
-export function createDecisions ({ requestLog, dialect, target, directory, rates, revision, clock }: DecisionContext): Decisions {
+export function createDecisions ({ requestLog, dialect, target, directory, rates, revision, stop, clock }: DecisionContext): Decisions {
   let answered = 0
   const idOf = (request: IncomingMessage, chain: string | null): LoggedRequest => {
     const id = request.headers[dialect.requestIdHeader]
@@ -130,7 +137,12 @@
   }
   const timesOf = (call: Call, startedAt: number) => {
     const now = clock.now()
-    return { elapsedMs: round(now - startedAt), timeLeftMs: round(call.deadlineAt - now) }
+    return { elapsedMs: round(now - startedAt), timeLeftMs: round(call.deadlineAt - now), ...stopTimes() }
+  }
+  /** Returns the time since this node's stop began, for lines about requests that end meanwhile. */
+  const stopTimes = (): StopTimes => {
+    const current = stop()
+    return current === undefined ? {} : { stoppingMs: round(clock.now() - current.startedAt) }
   }
   const logEnd = (call: Call, { outcome, extraAttempts, startedAt }: RequestEnd) => requestLog.write('requestEnded', () => ({
     ...describe(call),
@@ -160,7 +172,8 @@
         limit: workspace === null ? null : directory.limitOf(workspace) ?? null,
         rateState: workspace !== null && failure.code === 'overRate' ? rates.state(workspace) : null,
         revision: revision(),
-        elapsedMs: round(clock.now() - startedAt)
+        elapsedMs: round(clock.now() - startedAt),
+        ...stopTimes()
       }))
     },
     turnAway (call, failure, { rule, fraction }) {
@@ -176,16 +189,17 @@
         targetService: target.current()?.service ?? null,
         instance: target.instance() ?? null,
         elsewhere,
-        timeLeftMs: round(call.deadlineAt - clock.now())
+        timeLeftMs: round(call.deadlineAt - clock.now()),
+        ...stopTimes()
       }))
     },
     shed (call, failure, shedReason, arrivedAt) {
       const { gate } = target
       requestLog.write('callShed', () => {
-        const { elapsedMs: waitedMs, timeLeftMs } = timesOf(call, arrivedAt)
+        const { elapsedMs: waitedMs, ...times } = timesOf(call, arrivedAt)
         const maxWaitMs = call.context.waitMs === undefined ? null : round(call.context.waitMs)
         const state = { running: gate.running(), limit: round(gate.limit(), 1), load: round(gate.load(), 2) }
-        return { ...describe(call), ...causeOf(failure), shedReason, waitedMs, maxWaitMs, ...state, timeLeftMs }
+        return { ...describe(call), ...causeOf(failure), shedReason, waitedMs, maxWaitMs, ...state, ...times }
       })
     },
     refuseClaim (call, claim) {
@@ -200,10 +214,18 @@
         ...describe(call), reason: loggable(reason), cause, written, answered: headReceived, instance: instance ?? null, ...timesOf(call, startedAt)
       }))
     },
-    endAttempt (call, { to, outcome, next, budgetLeft, startedAt }) {
+    endAttempt (call, { to, stopKnownMs, outcome, next, budgetLeft, startedAt }) {
       if (outcome.type === 'answered') return
       requestLog.write('attemptEnded', () => ({
-        ...describe(call), ...causeOfOutcome(outcome), to, outcome: outcome.type, next, load: round(outcome.report.load, 2), budgetLeft, ...timesOf(call, startedAt)
+        ...describe(call),
+        ...causeOfOutcome(outcome),
+        to,
+        outcome: outcome.type,
+        next,
+        load: round(outcome.report.load, 2),
+        budgetLeft,
+        ...timesOf(call, startedAt),
+        ...(stopKnownMs === undefined ? {} : { stopKnownMs: round(stopKnownMs) })
       }))
     },
     endRequest (call, end) {
@@ -221,6 +243,9 @@
     abandon (request) {
       requestLog.write('requestAbandoned', () => ({ ...idOf(request, null), method: request.method ?? '' }))
     },
+    leaveUnserved (request) {
+      requestLog.write('requestUnserved', () => ({ ...idOf(request, null), method: request.method ?? '', ...stopTimes() }))
+    },
     crash (request, error) {
       requestLog.write('requestCrashed', () => ({ ...idOf(request, null), error: String(error.stack).slice(0, maxStackLength) }))
     }
--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -108,10 +108,10 @@
   const rates = createRateClient(peers, createMeter(options.rateWindowMs ?? 0), environment)
   const directory = createDirectory(peers.configuration, random)
   const requestLog = createRequestLog(id, log, metrics, clock)
-  const decisions = createDecisions({ requestLog, dialect, target, directory, rates, clock, revision: () => peers.configuration().revision })
+  let stop: Stop | undefined
+  const decisions = createDecisions({ requestLog, dialect, target, directory, rates, clock, revision: () => peers.configuration().revision, stop: () => stop })
   const findKeyFailure = createKeyCheck(peers, clock, { configuredBy: dialect.configuredBy, strict: strictKeys })
   const crashes = createCrashReporter(peers, target, environment)
-  let stop: Stop | undefined
   const mayBegin = (request: StoppingRequest) => beginsDuring(stop, request, clock.now())
   const server = createCallServer({ dialect, findKeyFailure, mayBegin, dependencies, reportedFractions, peers, target, claims, crashes, spans, decisions, environment })
   const forwarder = createForwarder(peers, environment)
@@ -161,9 +161,13 @@
     if (request.headers[contextHeader] === undefined) return serveEntry(request, response)
     trackResponse(request, response, () => serveOutgoing(request, response, outgoingContext))
   }
+  const leaveUnserved = (request: IncomingMessage) => {
+    metrics.count('requests_unserved_total')
+    decisions.leaveUnserved(request)
+  }
   const limits = { maxHeaderSize: maxHeaderBytes, requestTimeout: 30_000, headersTimeout: 10_000 }
-  const callerServer = createPipelinedServer({ ...limits, keepAliveTimeout: keepAliveMs }, serveEntry, () => stop !== undefined, backlog, metrics.count)
-  const localServer = createPipelinedServer({ ...limits, keepAliveTimeout: 60_000 }, serveLocal, () => stop !== undefined, backlog, metrics.count)
+  const callerServer = createPipelinedServer({ ...limits, keepAliveTimeout: keepAliveMs }, { serve: serveEntry, isStopping: () => stop !== undefined, leaveUnserved }, backlog)
+  const localServer = createPipelinedServer({ ...limits, keepAliveTimeout: 60_000 }, { serve: serveLocal, isStopping: () => stop !== undefined, leaveUnserved }, backlog)
   const listenAddress = await listen(callerServer, options.listen)
   const localAddress = await listen(localServer, options.local)
   metrics.gauge('stopping', () => stop === undefined ? 0 : 1)
@@ -208,7 +212,7 @@
       const endsAt = startedAt + options.stopTimeoutMs
       stop = { startedAt, servesUntil, endsAt }
       target.leave()
-      peers.prepareLeave()
+      peers.prepareLeave(options.stopTimeoutMs)
       await pause(Math.min(servesUntil, endsAt) - clock.now())
       await waitUntilIdle(endsAt)
       stop = endStop(stop, clock.now())
@@ -231,8 +235,8 @@
   }
 }
 
-function createPipelinedServer (options: ServerOptions, serve: PipelineOptions['serve'], isStopping: () => boolean, backlog: Backlog, count: PipelineOptions['count']): Server {
-  const pipeline = createPipeline({ serve, isStopping, count })
+function createPipelinedServer (options: ServerOptions, pipelineOptions: PipelineOptions, backlog: Backlog): Server {
+  const pipeline = createPipeline(pipelineOptions)
   return createServer(options, pipeline.accept).on('clientError', pipeline.reject).on('connection', backlog.recordConnection)
 }
 
--- a/src/core/node/pipeline.ts
+++ b/src/core/node/pipeline.ts
@@ -48,8 +48,8 @@
   serve: (request: IncomingMessage, response: ServerResponse) => void
   /** Returns true when each connection is to be closed with its last answer. */
   isStopping: () => boolean
-  /** Counts requests that were read but not served, because an answer before theirs closes the connection. */
-  count: (name: string) => void
+  /** Records a request that was read but is not served, because an answer before its own closes the connection. */
+  leaveUnserved: (request: IncomingMessage) => void
 }
 
 /**
@@ -57,7 +57,7 @@
  * A stop closes each connection with the answer to the last request that was read from it. What follows a closing answer is not served, so its client
  * may send it again.
  */
-export function createPipeline ({ serve, isStopping, count }: PipelineOptions): Pipeline {
+export function createPipeline ({ serve, isStopping, leaveUnserved }: PipelineOptions): Pipeline {
   const lines = new WeakMap<Duplex, Line>()
 
   const lineOf = (socket: Duplex): Line => {
@@ -123,7 +123,7 @@
     accept (request, response) {
       const { socket } = request
       const line = lineOf(socket)
-      if (!keepOpen(line)) return count('requests_unserved_total')
+      if (!keepOpen(line)) return leaveUnserved(request)
       if (line.waiting.length === 0 && line.inProgress.size < maxInProgress) return start(line, socket, request, response)
       line.waiting.push({ request, response })
       if (line.waiting.length >= maxWaiting) socket.pause()
--- a/src/core/peers/peers.ts
+++ b/src/core/peers/peers.ts
@@ -127,8 +127,8 @@
   onUpgrade: (handler: (request: IncomingMessage, socket: Socket, head: Buffer) => void) => void
   /** Returns the peer addresses of the live control instances, the leader's first. */
   controlAddresses: () => string[]
-  /** Announces that this process is about to leave. */
-  prepareLeave: () => void
+  /** Announces that this process is about to leave, in `stopMs` at most. */
+  prepareLeave: (stopMs: number) => void
   /** Announces that this process leaves now. */
   announceLeave: () => void
   close: () => Promise<void>
@@ -355,7 +355,7 @@
       if (addresses.length === 0) return [...options.seeds]
       return leader === undefined ? addresses : [leader, ...addresses.filter((candidate) => candidate !== leader)]
     },
-    prepareLeave: () => handleEvent({ type: 'prepare-leave' }),
+    prepareLeave: (stopMs) => handleEvent({ type: 'prepare-leave', stopMs }),
     announceLeave: () => handleEvent({ type: 'leave' }),
     async close () {
       isOpen = false
--- a/test/membership/codec.test.ts
+++ b/test/membership/codec.test.ts
@@ -20,7 +20,8 @@
   domain: fc.string(),
   address,
   target,
-  leaving: fc.constant(true as const)
+  leaving: fc.constant(true as const),
+  stopMs: fc.nat(86_400_000)
 }, { requiredKeys: ['id', 'startedAt', 'boot', 'incarnation', 'status', 'role', 'domain', 'address'], noNullPrototype: true })
 const ignore = () => {}
 const neverRefuse = (reason: string) => assert.fail(reason)
@@ -41,6 +42,10 @@
   fc.assert(fc.property(fc.array(member), (sent) => assert.deepEqual(decodeMembers(sent.map(encodeMember), neverRefuse), sent)), { seed: 2 })
 })
 
+test('a record of a version that does not state the duration of stops is read', () => {
+  fc.assert(fc.property(member, ({ stopMs, ...sent }) => assert.deepEqual(decodeMembers([encodeMember(sent).slice(0, -1)], neverRefuse), [sent])), { seed: 5 })
+})
+
 test('values that are no packet are refused', () => {
   fc.assert(fc.property(fc.anything(), (value) => assert.equal(decodePacket(value, ignore), undefined)), { seed: 3 })
 })
--- a/test/node/decisions.test.ts
+++ b/test/node/decisions.test.ts
@@ -12,6 +12,7 @@
 import { defaultDialect } from '../../src/core/node/dialect.ts'
 import type { Forwarder } from '../../src/core/node/forward.ts'
 import type { CallServer } from '../../src/core/node/serve.ts'
+import type { Stop } from '../../src/core/node/stop.ts'
 import type { OwnTarget } from '../../src/core/node/target.ts'
 import { calleeKey, createCancellation, emptyReport } from '../../src/core/node/types.ts'
 import type { AttemptOutcome, Call, CallContext, Sink } from '../../src/core/node/types.ts'
@@ -24,7 +25,7 @@
 })
 
 /** Creates decisions whose lines the test reads. */
-function createLogged () {
+function createLogged (stop?: Stop) {
   const lines: Array<Record<string, unknown>> = []
   const environment = { clock: systemClock, random: createRandom(1), log: log(lines), metrics: createMetrics() }
   const decisions = createDecisions({
@@ -34,7 +35,8 @@
     directory: { limitOf: () => ({ rate: 5, burst: 10 }) },
     rates: { state: () => ({ share: 2, left: 0, waiting: 3, unansweredMs: 0 }) },
     clock: systemClock,
-    revision: () => 7
+    revision: () => 7,
+    stop: () => stop
   })
   return { decisions, lines, environment }
 }
@@ -140,3 +142,14 @@
     { event: 'request_turned_away', id: 'r-1', code: 'overloaded', to: undefined, next: undefined, rule: 'admission fraction', fraction: 0 }
   ])
 })
+
+test('lines of a stopping node say how late they are, and what it knows of the stop of the other node', () => {
+  const now = systemClock.now()
+  const { decisions, lines } = createLogged({ startedAt: now - 1500, servesUntil: now + 1100, endsAt: now + 4000 })
+  decisions.endAttempt(createCall(), { to: 'n-2', stopKnownMs: 700, outcome: { type: 'broken', report: emptyReport }, next: 'end', budgetLeft: 0, startedAt: now })
+  decisions.leaveUnserved(requestWith({ 'x-request-id': 'r-2' }))
+  const [attempt, unserved] = lines
+  assert.deepEqual([attempt.event, attempt.stopKnownMs], ['attempt_ended', 700])
+  assert.deepEqual([unserved.event, unserved.id], ['request_unserved', 'r-2'])
+  for (const { stoppingMs } of lines) assert.ok(Number(stoppingMs) >= 1500 && Number(stoppingMs) < 2500, String(stoppingMs))
+})
--- a/test/node/endpoints.test.ts
+++ b/test/node/endpoints.test.ts
@@ -9,7 +9,7 @@
 }
 
 function endpointNodes (...members: Member[]): string[] {
-  return (endpointsByService(members).get('s') ?? []).map(({ node }) => node)
+  return (endpointsByService(members, { of: () => undefined }).get('s') ?? []).map(({ node }) => node)
 }
 
 test('healthy targets go before suspected ones, and those before leaving ones', () => {
--- a/test/node/pipeline.test.ts
+++ b/test/node/pipeline.test.ts
@@ -29,7 +29,7 @@
   const cancelled: string[] = []
   const pipeline = createPipeline({
     isStopping: () => stopping,
-    count: () => {},
+    leaveUnserved: () => {},
     serve (request, response) {
       served.push(request.url ?? '')
       response.once('close', () => {
--- a/test/node/serve.test.ts
+++ b/test/node/serve.test.ts
@@ -124,7 +124,7 @@
   const peers = { freshness: createFreshness(), configuration: emptyConfiguration } as unknown as Peers
   const environment = { clock: systemClock, random: createRandom(1), log, metrics: createMetrics() }
   const requestLog = createRequestLog('n', log, environment.metrics, systemClock)
-  const decisions = createDecisions({ requestLog, dialect, target, clock: systemClock, directory: { limitOf: () => undefined }, rates: {} as RateClient, revision: () => 1 })
+  const decisions = createDecisions({ requestLog, dialect, target, clock: systemClock, directory: { limitOf: () => undefined }, rates: {} as RateClient, revision: () => 1, stop: () => undefined })
   const crashes = { recordCompletion () {}, checkForCrash: async () => false, recordAbandoned: (fingerprint: string) => void abandoned.push(fingerprint), close () {} }
   const server = createCallServer({ dependencies: createDependencies(systemClock), reportedFractions: createReportedFractions(), dialect, findKeyFailure: () => undefined, mayBegin: () => true, peers, target, claims: claims as ClaimClient, crashes, spans: createSpans(), decisions, environment })
   try {
--- a/test/node/silent-decisions.ts
+++ b/test/node/silent-decisions.ts
@@ -9,6 +9,6 @@
 /** Creates a log of decisions that writes nothing. */
 export function createSilentDecisions (dialect: Dialect = defaultDialect): Decisions {
   return createDecisions({
-    requestLog: { write () {} }, dialect, target: {} as OwnTarget, clock: systemClock, directory: { limitOf: () => undefined }, rates: {} as RateClient, revision: () => 1
+    requestLog: { write () {} }, dialect, target: {} as OwnTarget, clock: systemClock, directory: { limitOf: () => undefined }, rates: {} as RateClient, revision: () => 1, stop: () => undefined
   })
 }
