A stopping node begins a forwarded call only if it ends before the stop does

Cause: one moment, 2.6 s after SIGTERM, closed both ways in. It is the time in which callers learn of a stop, by two probes; until then everything was begun, however long it takes. Nodes learn of a stop by gossip in a fraction of that, and can send elsewhere; and the stop that cuts a forwarded call is not the one of the machine that took the request. Otherwise it is refused as not run, which costs the sender a round trip. The door of callers is as before. Why it works: what the sender could not foresee is decided where the stop is known; calls of milliseconds whose routes allow seconds are served longer than before, long ones are not begun.

--- a/src/core/node/filters.ts
+++ b/src/core/node/filters.ts
@@ -168,7 +168,7 @@
 function checkStop (arrival: Arrival, context: EntryContext): Outcome<null> {
   const { route, callerRequest } = arrival
   if (route === undefined) return accepted
-  return context.mayBegin({ timeoutMs: requestTimeoutMs(route, callerRequest) }) ? accepted : fail('leaving')
+  return context.mayBegin({ source: 'caller', timeoutMs: requestTimeoutMs(route, callerRequest) }) ? accepted : fail('leaving')
 }
 
 function checkBodyForKeys ({ body }: Arrival): Outcome<null> {
--- a/src/core/node/outgoing.ts
+++ b/src/core/node/outgoing.ts
@@ -50,7 +50,7 @@
   const pathname = path.split('?', 1)[0]
   const keyFailure = context.findKeyFailure(parent)
   if (keyFailure !== undefined) return keyFailure
-  if (!context.mayBegin({ timeoutMs: span.deadlineAt - now })) return fail('leaving')
+  if (!context.mayBegin({ source: 'caller', timeoutMs: span.deadlineAt - now })) return fail('leaving')
   if (span.cancellation.cancelled) return fail('deadline', { stage: 'before the outgoing call' })
   if (parent.depth + 1 > maxDepth) return fail('badRequest', { reason: `the chain is deeper than ${maxDepth} calls` })
   const routes = directory.routes()
--- a/src/core/node/peer-calls.ts
+++ b/src/core/node/peer-calls.ts
@@ -93,7 +93,7 @@
   const completeWhenEnded = () => {
     if (!isEnded || body === undefined || isSettled) return
     if (received !== bodyBytes) return cancelCall()
-    settle({ type: 'call', call: { context, method, path, headers, body, deadlineAt, cancellation }, release })
+    settle({ type: 'call', call: { context, method, path, headers, body, deadlineAt, cancellation, source: 'node' }, release })
   }
   const begin = (granted: Release | undefined) => {
     if (granted === undefined) return settle({ type: 'no-room' })
--- a/src/core/node/serve.ts
+++ b/src/core/node/serve.ts
@@ -12,6 +12,7 @@
 import { sendExchange } from './exchange.ts'
 import type { ExchangeError } from './exchange.ts'
 import type { Dependencies } from './dependencies.ts'
+import { createDurations } from './durations.ts'
 import type { Dialect } from './dialect.ts'
 import { headerOf } from './headers.ts'
 import type { KeyCheck } from './key-check.ts'
@@ -76,6 +77,7 @@
   const { clock, metrics } = environment
   const suspectQueue = createSerialQueue()
   const refusedIds = createRefusedIds(clock)
+  const durations = createDurations(clock)
   let running = 0
   let echoesRequestId = false
 
@@ -99,9 +101,9 @@
   }
 
   const findRefusal = (call: Call): { failure: Failure, elsewhere: boolean } | undefined => {
-    const { service, fingerprint } = call.context
+    const { service, fingerprint, route } = call.context
     const now = clock.now()
-    if (!mayBegin({ timeoutMs: call.deadlineAt - now })) return { failure: fail('leaving'), elsewhere: true }
+    if (!mayBegin({ source: call.source ?? 'caller', timeoutMs: call.deadlineAt - now, longestMs: durations.longest(route) })) return { failure: fail('leaving'), elsewhere: true }
     if (target.current()?.service !== service || !target.acceptsRequests()) return { failure: fail('noTarget', { service }), elsewhere: true }
     const banned = findBan(fingerprint, peers, clock.date())
     if (banned !== undefined) return { failure: banned, elsewhere: false }
@@ -119,6 +121,13 @@
     requestId !== undefined && echoed === requestId && status >= firstErrorStatus && !refusedIds.has(pool, requestId)
 
   const serve = async (call: Call, sink: Sink): Promise<AttemptOutcome> => {
+    const recordEnd = durations.begin(call.context.route)
+    const outcome = await serveUnlessRefused(call, sink)
+    recordEnd(outcome.type !== 'refused')
+    return outcome
+  }
+
+  const serveUnlessRefused = async (call: Call, sink: Sink): Promise<AttemptOutcome> => {
     const refusal = findRefusal(call)
     if (refusal !== undefined) return refuse(call, refusal)
     if (!call.context.suspect) return await admit(call, sink)
--- a/src/core/node/types.ts
+++ b/src/core/node/types.ts
@@ -1,4 +1,5 @@
 import type { Failure } from '../errors/index.ts'
+import type { RequestSource } from './running.ts'
 
 /** Context of a call that is sent between nodes, but not to the target. */
 export interface CallContext {
@@ -56,6 +57,8 @@
   deadlineAt: number
   /** Cancels the call when its caller has disconnected. */
   cancellation: Cancellation
+  /** Where this node got the call from. Default: a caller or the node's own target. */
+  source?: RequestSource
   /** True for an expected retry: its caller was told in Retry-After to retry now. */
   isExpectedRetry?: boolean
 }
