Calls go to the leaving node that stops last, and to one that still has time for them when those that stay refuse

What callers saw: with all nodes of a service stopping one after the other, calls went to any of them by lot, also to the one that stopped first; calls refused for want of room at the nodes that stay were never offered to a leaving one with seconds left and slots free. Cause: a leaving node was one state for others, whatever time its stop had left. A target that leaves by itself gets no such call: it may end sooner than it says. Why it works: the receiving node has the last word (stop.ts), so that a late estimate costs a refusal at once, not a cut.

--- a/src/core/node/attempts.ts
+++ b/src/core/node/attempts.ts
@@ -9,9 +9,10 @@
 import { createRetryTokens, depositRetryToken, releaseBudget, reserveBudget, mayRetry, divideFleetRetries, consumeAttempt, takeRetryToken } from '../retries/index.ts'
 import type { Budget } from '../retries/index.ts'
 import { chooseTarget, createKnownStops, createTargetStats, recordAnswer, recordFailure, statsOf } from '../routing/index.ts'
-import type { Candidate, KnownStop, KnownStops } from '../routing/index.ts'
 import { inProgressPriority } from './constants.ts'
 import type { Decisions, TurnAway } from './decisions.ts'
+import { countEndpoints, endpointsByService, nextEndpoints } from './endpoints.ts'
+import type { Endpoint, ServiceEndpoints } from './endpoints.ts'
 import type { Forwarder } from './forward.ts'
 import type { CallServer } from './serve.ts'
 import { calleeKey, emptyReport } from './types.ts'
@@ -28,13 +29,6 @@
   close: () => void
 }
 
-/** A target with the address of its node. */
-export interface Endpoint extends Candidate {
-  address: string
-  /** Planned stop of the node, if it stops. */
-  stop?: KnownStop
-}
-
 function createRefusal (failure: Failure, shed: boolean): AttemptOutcome {
   return { type: 'refused', failure, elsewhere: false, arrived: false, report: { ...emptyReport, shed } }
 }
@@ -49,26 +43,6 @@
   return last.type === 'refused' && mayHaveRun !== undefined ? { ...mayHaveRun, report: last.report } : last
 }
 
-/** Returns the endpoints of each service: those that are up, else those whose node is suspected, else those that are leaving. */
-export function endpointsByService (members: readonly Member[], stops: Pick<KnownStops, 'of'>): Map<string, Endpoint[]> {
-  const leaving = selectEndpoints(members, stops, ({ target }) => target?.state === 'leaving')
-  const suspected = selectEndpoints(members, stops, ({ target, status }) => target?.state === 'up' && status !== 'alive')
-  const healthy = selectEndpoints(members, stops, ({ target, status }) => target?.state === 'up' && status === 'alive')
-  return new Map([...leaving, ...suspected, ...healthy])
-}
-
-function selectEndpoints (members: readonly Member[], stops: Pick<KnownStops, 'of'>, isWanted: (member: Member) => boolean): Map<string, Endpoint[]> {
-  const endpoints = new Map<string, Endpoint[]>()
-  for (const member of members) {
-    const { id, boot, domain, address, target } = member
-    if (target === undefined || !isWanted(member)) continue
-    const known = endpoints.get(target.service) ?? []
-    known.push({ node: id, domain, slots: target.slots, address, stop: stops.of(boot) })
-    endpoints.set(target.service, known)
-  }
-  return endpoints
-}
-
 /** Creates the part of a node that calls targets. */
 export function createCallSender (
   peers: Peers, server: CallServer, forwarder: Forwarder, fleetRetries: number, reportedFractions: ReportedFractions, decisions: Decisions,
@@ -78,11 +52,11 @@
   const retryTokens = createRetryTokens()
   const throttle = createThrottle()
   const stops = createKnownStops(clock)
-  let endpoints = new Map<string, Endpoint[]>()
+  let endpoints = new Map<string, ServiceEndpoints>()
   let indexedMembers: readonly Member[] | undefined
   const timer = setInterval(() => pruneThrottle(throttle, clock.now()), pruneEveryMs)
 
-  const findEndpoints = (service: string): readonly Endpoint[] => {
+  const findEndpoints = (service: string): ServiceEndpoints | undefined => {
     const members = peers.members()
     if (members !== indexedMembers) {
       stops.update(members)
@@ -90,7 +64,7 @@
       divideFleetRetries(retryTokens, fleetRetries, members.filter(({ role }) => role === 'node').length)
     }
     indexedMembers = members
-    return endpoints.get(service) ?? []
+    return endpoints.get(service)
   }
   const attemptOnce = async (call: Call, budget: Budget, endpoint: Endpoint, sink: Sink, waitMs: number | undefined): Promise<AttemptOutcome> => {
     const { id } = peers.self()
@@ -145,14 +119,7 @@
       }
       const tried = new Set<string>()
       const refusedBy = new Set<string>()
-      /**
-       * Returns the endpoints that may get the call: those that have not been tried, else those whose targets have not refused it.
-       * What a target answers to a second sending could be its first refusal, repeated.
-       */
-      const findCandidates = (all: readonly Endpoint[]): readonly Endpoint[] => {
-        const untried = all.filter(({ node }) => !tried.has(node))
-        return untried.length > 0 ? untried : all.filter(({ node }) => !refusedBy.has(node))
-      }
+      const findCandidates = (all: ServiceEndpoints | undefined) => nextEndpoints(all, { tried, refusedBy, deadlineAt: call.deadlineAt })
       const startedAt = clock.now()
       /** Returns the time in milliseconds that the call may still wait in queues. */
       const waitLeft = () => call.context.waitMs === undefined ? undefined : call.context.waitMs - (clock.now() - startedAt)
@@ -181,7 +148,7 @@
         if (outcome.type === 'refused' && outcome.arrived) refusedBy.add(chosen.node)
         if (!canRetry(next, outcome)) return end('end: a retry is not allowed')
         if (didNotArrive(outcome)) {
-          if (tried.size >= Math.min(all.length, maxEndpoints)) return end('end: no endpoint is left to try')
+          if (tried.size >= Math.min(countEndpoints(all, call.deadlineAt), maxEndpoints)) return end('end: no endpoint is left to try')
           if ((waitLeft() ?? 1) <= 0) return end('end: no time is left to wait')
           logEnd('another endpoint')
           continue
