A short call of a request in progress is begun while the stop of its node waits for that request

Cause: from 2.6 s after SIGTERM a call was begun only if its timeout ends before the stop, and the timeouts of routes are 10 to 100 times as long as their calls. Change: a call of the own target is begun, too, if twice the longest recent call to that route from this node, and half a second, ends before the stop; new requests of callers are not. Why it works: the stop waits for the request anyway; what it waits for needs its calls.

--- a/src/core/node/attempts.ts
+++ b/src/core/node/attempts.ts
@@ -11,12 +11,13 @@
 import { chooseTarget, createKnownStops, createTargetStats, recordAnswer, recordFailure, statsOf } from '../routing/index.ts'
 import { inProgressPriority } from './constants.ts'
 import type { Decisions, TurnAway } from './decisions.ts'
+import { createDurations } from './durations.ts'
 import { countEndpoints, endpointsByService, nextEndpoints } from './endpoints.ts'
 import type { Endpoint, ServiceEndpoints } from './endpoints.ts'
 import type { Forwarder } from './forward.ts'
 import type { CallServer } from './serve.ts'
 import { calleeKey, emptyReport } from './types.ts'
-import type { AttemptOutcome, Call, Sink } from './types.ts'
+import type { AttemptOutcome, Call, CallContext, Sink } from './types.ts'
 
 /** Maximum number of endpoints tried for one attempt while nodes refuse it before their targets receive it. */
 const maxEndpoints = 3
@@ -26,6 +27,8 @@
 /** Sends calls to targets, with retries where they are allowed. */
 export interface CallSender {
   send: (call: Call, budget: Budget, sink: Sink) => Promise<AttemptOutcome>
+  /** Returns the longest time in ms that calls to a service and route have taken lately; undefined when none has ended. */
+  longestMs: (callee: Pick<CallContext, 'service' | 'route'>) => number | undefined
   close: () => void
 }
 
@@ -51,6 +54,7 @@
   const statsByNode = createTargetStats()
   const retryTokens = createRetryTokens()
   const throttle = createThrottle()
+  const durations = createDurations(clock)
   const stops = createKnownStops(clock)
   let endpoints = new Map<string, ServiceEndpoints>()
   let indexedMembers: readonly Member[] | undefined
@@ -104,64 +108,72 @@
   }
   const throttleKey = ({ context }: Call) => `${context.template}/${context.route}/${context.workspace ?? ''}/${context.priority}`
 
-  return {
-    async send (call, budget, sink) {
-      const { service, priority } = call.context
-      const key = throttleKey(call)
-      const isNewRequest = priority > inProgressPriority && call.context.depth === 0
-      if (isNewRequest && !isAdmitted(reportedFractionOf(reportedFractions, calleeKey(call.context), clock.now()), priority, random.next(), call.isExpectedRetry)) {
-        metrics.count(`turned_away_total{priority="${priority}"}`)
-        return turnAway(call, 'refused before it began, as it leads to services that cannot bear more', 'admission fraction')
+  const sendUnrecorded = async (call: Call, budget: Budget, sink: Sink): Promise<AttemptOutcome> => {
+    const { service, priority } = call.context
+    const key = throttleKey(call)
+    const isNewRequest = priority > inProgressPriority && call.context.depth === 0
+    if (isNewRequest && !isAdmitted(reportedFractionOf(reportedFractions, calleeKey(call.context), clock.now()), priority, random.next(), call.isExpectedRetry)) {
+      metrics.count(`turned_away_total{priority="${priority}"}`)
+      return turnAway(call, 'refused before it began, as it leads to services that cannot bear more', 'admission fraction')
+    }
+    if (priority > inProgressPriority && !passesThrottle(throttle, key, priority, random.next(), clock.now())) {
+      metrics.count(`throttled_total{priority="${priorities[priority]}"}`)
+      return turnAway(call, 'refused early, as targets further down refuse', 'throttle')
+    }
+    const tried = new Set<string>()
+    const refusedBy = new Set<string>()
+    const findCandidates = (all: ServiceEndpoints | undefined) => nextEndpoints(all, { tried, refusedBy, deadlineAt: call.deadlineAt })
+    const startedAt = clock.now()
+    /** Returns the time in milliseconds that the call may still wait in queues. */
+    const waitLeft = () => call.context.waitMs === undefined ? undefined : call.context.waitMs - (clock.now() - startedAt)
+    let next = call
+    let mayHaveRun: AttemptOutcome | undefined
+    while (true) {
+      const all = findEndpoints(service)
+      const chosen = chooseTarget(statsByNode, findCandidates(all), peers.self().domain, clock.now(), random) as Endpoint | undefined
+      if (chosen === undefined) return mayHaveRun ?? createRefusal(fail('noTarget', { service }), false)
+      const attemptedAt = clock.now()
+      const outcome = await attemptOnce(next, budget, chosen, sink, waitLeft())
+      const logEnd = (what: string) => {
+        const stopKnownMs = chosen.stop && clock.now() - chosen.stop.knownAt
+        decisions.endAttempt(call, { to: chosen.node, stopKnownMs, outcome, next: what, budgetLeft: budget.left, startedAt: attemptedAt })
       }
-      if (priority > inProgressPriority && !passesThrottle(throttle, key, priority, random.next(), clock.now())) {
-        metrics.count(`throttled_total{priority="${priorities[priority]}"}`)
-        return turnAway(call, 'refused early, as targets further down refuse', 'throttle')
+      /** Ends the call for the given reason. */
+      const end = (reason: string) => {
+        logEnd(reason)
+        return finalOutcome(outcome, mayHaveRun)
       }
-      const tried = new Set<string>()
-      const refusedBy = new Set<string>()
-      const findCandidates = (all: ServiceEndpoints | undefined) => nextEndpoints(all, { tried, refusedBy, deadlineAt: call.deadlineAt })
-      const startedAt = clock.now()
-      /** Returns the time in milliseconds that the call may still wait in queues. */
-      const waitLeft = () => call.context.waitMs === undefined ? undefined : call.context.waitMs - (clock.now() - startedAt)
-      let next = call
-      let mayHaveRun: AttemptOutcome | undefined
-      while (true) {
-        const all = findEndpoints(service)
-        const chosen = chooseTarget(statsByNode, findCandidates(all), peers.self().domain, clock.now(), random) as Endpoint | undefined
-        if (chosen === undefined) return mayHaveRun ?? createRefusal(fail('noTarget', { service }), false)
-        const attemptedAt = clock.now()
-        const outcome = await attemptOnce(next, budget, chosen, sink, waitLeft())
-        const logEnd = (what: string) => {
-          const stopKnownMs = chosen.stop && clock.now() - chosen.stop.knownAt
-          decisions.endAttempt(call, { to: chosen.node, stopKnownMs, outcome, next: what, budgetLeft: budget.left, startedAt: attemptedAt })
-        }
-        /** Ends the call for the given reason. */
-        const end = (reason: string) => {
-          logEnd(reason)
-          return finalOutcome(outcome, mayHaveRun)
-        }
-        const overloaded = outcome.report.shed || (outcome.type === 'answered' && outcome.status === 503)
-        recordOutcome(throttle, key, priority, !overloaded, clock.now())
-        if (outcome.type === 'answered') depositRetryToken(retryTokens, service)
-        if (outcome.type === 'failed') mayHaveRun = outcome
-        tried.add(chosen.node)
-        if (outcome.type === 'refused' && outcome.arrived) refusedBy.add(chosen.node)
-        if (!canRetry(next, outcome)) return end('end: a retry is not allowed')
-        if (didNotArrive(outcome)) {
-          if (tried.size >= Math.min(countEndpoints(all, call.deadlineAt), maxEndpoints)) return end('end: no endpoint is left to try')
-          if ((waitLeft() ?? 1) <= 0) return end('end: no time is left to wait')
-          logEnd('another endpoint')
-          continue
-        }
-        if (budget.left < 1) return end('end: no extra attempt is left')
-        if (findCandidates(all).length === 0) return end('end: every target has refused it')
-        if (!takeRetryToken(retryTokens, service)) return end('end: the service has no retry token')
-        consumeAttempt(budget)
-        logEnd('retry')
-        metrics.count('retries_total')
-        if (outcome.type === 'failed' && outcome.crashed) next = { ...call, context: { ...call.context, suspect: true } }
+      const overloaded = outcome.report.shed || (outcome.type === 'answered' && outcome.status === 503)
+      recordOutcome(throttle, key, priority, !overloaded, clock.now())
+      if (outcome.type === 'answered') depositRetryToken(retryTokens, service)
+      if (outcome.type === 'failed') mayHaveRun = outcome
+      tried.add(chosen.node)
+      if (outcome.type === 'refused' && outcome.arrived) refusedBy.add(chosen.node)
+      if (!canRetry(next, outcome)) return end('end: a retry is not allowed')
+      if (didNotArrive(outcome)) {
+        if (tried.size >= Math.min(countEndpoints(all, call.deadlineAt), maxEndpoints)) return end('end: no endpoint is left to try')
+        if ((waitLeft() ?? 1) <= 0) return end('end: no time is left to wait')
+        logEnd('another endpoint')
+        continue
       }
+      if (budget.left < 1) return end('end: no extra attempt is left')
+      if (findCandidates(all).length === 0) return end('end: every target has refused it')
+      if (!takeRetryToken(retryTokens, service)) return end('end: the service has no retry token')
+      consumeAttempt(budget)
+      logEnd('retry')
+      metrics.count('retries_total')
+      if (outcome.type === 'failed' && outcome.crashed) next = { ...call, context: { ...call.context, suspect: true } }
+    }
+  }
+
+  return {
+    async send (call, budget, sink) {
+      const recordEnd = durations.begin(calleeKey(call.context))
+      const outcome = await sendUnrecorded(call, budget, sink)
+      recordEnd(outcome.type !== 'refused')
+      return outcome
     },
+    longestMs: (callee) => durations.longest(calleeKey(callee)),
     close: () => clearInterval(timer)
   }
 }
--- a/src/core/node/filters.ts
+++ b/src/core/node/filters.ts
@@ -168,7 +168,10 @@
 function checkStop (arrival: Arrival, context: EntryContext): Outcome<null> {
   const { route, callerRequest } = arrival
   if (route === undefined) return accepted
-  return context.mayBegin({ source: 'caller', timeoutMs: requestTimeoutMs(route, callerRequest) }) ? accepted : fail('leaving')
+  // Without its calls a request in progress fails; the stop waits for both.
+  const longestMs = isCallInProgress(arrival, context) ? context.callSender.longestMs({ service: route.service, route: route.name }) : undefined
+  const timeoutMs = requestTimeoutMs(route, callerRequest)
+  return context.mayBegin({ source: 'caller', timeoutMs, longestMs }) ? accepted : fail('leaving')
 }
 
 function checkBodyForKeys ({ body }: Arrival): Outcome<null> {
--- a/src/core/node/outgoing.ts
+++ b/src/core/node/outgoing.ts
@@ -50,16 +50,17 @@
   const pathname = path.split('?', 1)[0]
   const keyFailure = context.findKeyFailure(parent)
   if (keyFailure !== undefined) return keyFailure
-  if (!context.mayBegin({ source: 'caller', timeoutMs: span.deadlineAt - now })) return fail('leaving')
   if (span.cancellation.cancelled) return fail('deadline', { stage: 'before the outgoing call' })
   if (parent.depth + 1 > maxDepth) return fail('badRequest', { reason: `the chain is deeper than ${maxDepth} calls` })
   const routes = directory.routes()
   const route = parent.workspace === null ? routes.findOpen(method, pathname) : routes.find(parent.workspace, method, pathname) ?? routes.findOpen(method, pathname)
   if (route === undefined) return fail('unknownRoute', { method, path: pathname })
+  const deadlineAt = Math.min(span.deadlineAt, now + route.timeoutMs)
+  const longestMs = context.callSender.longestMs({ service: route.service, route: route.name })
+  if (!context.mayBegin({ source: 'caller', timeoutMs: deadlineAt - now, longestMs })) return fail('leaving')
   const headers = context.dialect.requestHeaders(request.rawHeaders, parent.workspace)
   const idempotencyKey = headerOf(headers, 'idempotency-key')
   const occurrence = countOccurrence(span, `${route.name}/${bodyDigest}`)
-  const deadlineAt = Math.min(span.deadlineAt, now + route.timeoutMs)
   return {
     context: {
       attempt: randomId(),
--- a/test/platform/machines.ts
+++ b/test/platform/machines.ts
@@ -39,6 +39,7 @@
   deleteData: (number: number) => void
   replaceConfiguration: (core: number, base: string, document: object) => Promise<Reply>
   readConfiguration: (core: number) => Promise<Reply>
+  /** Sends a request of a caller with some default headers; a header whose value is empty is left out. */
   send: (sidecar: number, path: string, headers?: Record<string, string>) => Promise<Reply>
   /** Sends from the address that the sidecar shares with its server. */
   sendFromMachine: (sidecar: number, path: string, headers?: Record<string, string>) => Promise<Reply>
@@ -159,7 +160,8 @@
     return { received, sendHeartbeat, respondWith: (next) => void (respond = next) }
   }
   const send = (sidecar: number, path: string, changes: Record<string, string> = {}, dispatcher?: Dispatcher) => {
-    const headers = { host: 'a.example', 'x-dogwoodspring-request-id': 'id-1', 'x-dogwoodspring-deadline-ms': '4000', 'x-dogwoodspring-key': 'secret', ...changes }
+    const all: Record<string, string> = { host: 'a.example', 'x-dogwoodspring-request-id': 'id-1', 'x-dogwoodspring-deadline-ms': '4000', 'x-dogwoodspring-key': 'secret', ...changes }
+    const headers = Object.fromEntries(Object.entries(all).filter(([, value]) => value !== ''))
     const patienceMs = Number(headers['x-dogwoodspring-deadline-ms']) + 1000
     return sendCall(`http://${sidecarIp(sidecar)}:${outbound}${path}`, { method: 'GET', headers, dispatcher, headersTimeout: patienceMs, bodyTimeout: patienceMs })
   }
@@ -205,7 +207,7 @@
     }),
     readConfiguration: (core) => sendCall(`http://${coreIp(core)}:${control}${callPath}?call=config.get`, { method: 'POST' }),
     send: (sidecar, path, headers) => send(sidecar, path, headers),
-    sendFromMachine: (sidecar, path, headers) => send(sidecar, path, headers, new Agent({ connect: { localAddress: sidecarIp(sidecar) } })),
+    sendFromMachine: (sidecar, path, headers) => send(sidecar, path, headers, new Agent({ localAddress: sidecarIp(sidecar) })),
     sendHeartbeatText: (sidecar, id, body) => sendCall(`http://${sidecarIp(sidecar)}:${control}${callPath}?call=instances.heartbeat&of=${id}`, { method: 'POST', body }),
     peerPort: peer,
     isRunning: (name) => children.get(name)?.child.exitCode === null && children.get(name)?.child.signalCode === null,
--- a/test/platform/stopping.ts
+++ b/test/platform/stopping.ts
@@ -27,7 +27,7 @@
   throw error
 }
 
-/** Starts three cores and two sidecars with one route from the first to the server of the second, whose kind and timeout are given. */
+/** Starts three cores and two sidecars with one route from the first to the server of the second, whose kind and timeout are given, and an open one below /open/. */
 export async function withServer (use: (setting: Setting) => Promise<void>, kind = 'idempotent', timeout = '9s'): Promise<void> {
   const machines = await createMachines()
   try {
@@ -37,7 +37,9 @@
     await eventually(async () => await caller.sendHeartbeat('ready') === 200 && await server.sendHeartbeat('ready') === 200)
     const [listener] = (configuration(3, 'shop') as { listeners: Array<{ host: string, routeRules: Array<{ action: object }> }> }).listeners
     const [rule] = listener.routeRules
-    const listeners = [{ ...listener, routeRules: [{ ...rule, kind, action: { ...rule.action, timeout } }] }]
+    const action = { ...rule.action, timeout }
+    const openRule = { ...rule, name: 'open', public: true, match: { pathPrefix: '/open/' }, action }
+    const listeners = [{ ...listener, routeRules: [{ ...rule, kind, action }, openRule] }]
     await eventually(async () => (await machines.replaceConfiguration(1, '0', { ...configuration(3, 'shop'), listeners })).status === 200)
     await eventually(async () => (await machines.send(1, '/p/x', patience)).status === 200)
     const beats = setInterval(() => void server.sendHeartbeat('ready'), 1500)
