A forwarded call needs room for three times the longest recent one before a stop

Change: the factor is three. Calls of milliseconds keep nearly the whole stop; long ones are refused earlier, as not run.

--- a/src/core/node/stop.ts
+++ b/src/core/node/stop.ts
@@ -10,7 +10,7 @@
 }
 
 /** A call is expected to take at most this many times as long as the longest recent one, and `marginMs` more. */
-const durationFactor = 2
+const durationFactor = 3
 const marginMs = 500
 
 /** Ends a stop before its time, when nothing runs any more. What is read while connections are closed is not begun. */
