A retry of a call that may have run is not shed for the time of its first attempt

Cause: the wait that a call may spend in queues counts from its start; after an attempt of 3.7 s it was negative (maxWaitMs -3065), so that the next target's queue shed the retry although its retry token was spent. Change: the bound on waiting serves an early refusal as not run. A call that may have run can't be refused any more, so that its retry waits within its deadline and the defaults of the queue. Evidence: test/node/attempts.test.ts, fails before.

--- a/src/core/node/attempts.ts
+++ b/src/core/node/attempts.ts
@@ -124,10 +124,10 @@
     const refusedBy = new Set<string>()
     const findCandidates = (all: ServiceEndpoints | undefined) => nextEndpoints(all, { tried, refusedBy, deadlineAt: call.deadlineAt })
     const startedAt = clock.now()
-    /** Returns the time in milliseconds that the call may still wait in queues. */
-    const waitLeft = () => call.context.waitMs === undefined ? undefined : call.context.waitMs - (clock.now() - startedAt)
     let next = call
     let mayHaveRun: AttemptOutcome | undefined
+    /** Returns the time in ms that the call may still wait in queues; undefined for no bound but its deadline, as when it may have run and can no longer be refused. */
+    const waitLeft = () => call.context.waitMs === undefined || mayHaveRun !== undefined ? undefined : call.context.waitMs - (clock.now() - startedAt)
     while (true) {
       const all = findEndpoints(service)
       const chosen = chooseTarget(statsByNode, findCandidates(all), peers.self().domain, clock.now(), random) as Endpoint | undefined
--- a/test/node/attempts.test.ts
+++ b/test/node/attempts.test.ts
@@ -26,22 +26,24 @@
 }
 
 /** Sends one call with five extra attempts; `outcomesOf` gives the outcomes of each node's attempts in order. Returns the outcome, the nodes tried and the budget left. */
-async function send (outcomesOf: Record<string, AttemptOutcome[]>, idempotent: boolean) {
+async function send (outcomesOf: Record<string, AttemptOutcome[]>, idempotent: boolean, waitMs?: number) {
   const nodes: string[] = []
-  const forward = async (node: string) => {
+  const waits: Array<number | undefined> = []
+  const forward = async (node: string, { context }: Call) => {
     nodes.push(node)
+    waits.push(context.waitMs)
     return outcomesOf[node].shift() ?? answered
   }
   const members = Object.keys(outcomesOf).map(member)
   const peers = { self: () => member('entry'), members: () => members, reportUnreachable () {} } as unknown as Peers
   const environment = { clock: systemClock, random: createRandom(1), log: silentLog, metrics: createMetrics() }
   const sender = createCallSender(peers, {} as CallServer, { forward } as unknown as Forwarder, Infinity, createReportedFractions(), createSilentDecisions(), environment)
-  const context = { service: 's', route: 'r', template: 't', workspace: null, priority: 2, depth: 0, idempotent, suspect: false }
+  const context = { service: 's', route: 'r', template: 't', workspace: null, priority: 2, depth: 0, idempotent, suspect: false, waitMs }
   const call = { context, deadlineAt: systemClock.now() + 1000, cancellation: createCancellation() } as unknown as Call
   const budget = createBudget(5)
   const outcome = await sender.send(call, budget, {} as Sink)
   sender.close()
-  return { outcome, nodes, budget }
+  return { outcome, nodes, waits, budget }
 }
 
 test('call goes once to the only target, which refuses it, and takes no retry for that', async () => {
@@ -63,3 +65,8 @@
   const { outcome, nodes } = await send({ a: [failed] }, true)
   assert.deepEqual([outcome, nodes], [answered, ['a', 'a']])
 })
+
+test('a retry of a call that may have run is not shed for the time that its first attempt took', async () => {
+  const { outcome, waits } = await send({ a: [failed] }, true, 0)
+  assert.deepEqual([outcome, waits[1]], [answered, undefined])
+})
