Calls that wait for their turn when a stop ends are refused as not run

What callers would see: 504, may have run, for calls that no target had received; a request that may not be repeated is then lost for its caller, and another node is not tried. Cause: the end of a stop gives up all that it counts as running, also what waits in the queue before the target. Change: the queue is emptied first with a refusal that lets the sender try another node, then the rest is given up.

--- a/src/core/node/gate.ts
+++ b/src/core/node/gate.ts
@@ -4,7 +4,7 @@
 import { inProgressPriority, maxSweepMs, minSweepMs } from './constants.ts'
 
 /** Whether a request may run at the target. */
-export type Admittance = { type: 'started' } | { type: 'shed', reason: ShedReason | 'cancelled' }
+export type Admittance = { type: 'started' } | { type: 'shed', reason: ShedReason | 'cancelled' | 'stopping' }
 
 /** Applies the admission decisions for the node's own target. */
 export interface Gate {
@@ -13,6 +13,8 @@
   exit: (sample: FinishedRequest | undefined) => void
   /** Removes a waiting request whose caller cancelled it. */
   cancel: (id: string) => void
+  /** Removes all waiting requests, because the node stops, and returns their number. */
+  removeWaiting: () => number
   load: () => number
   running: () => number
   limit: () => number
@@ -88,6 +90,11 @@
     cancel (id) {
       if (removeWaiting(admission, id)) resolveWaiting(id, { type: 'shed', reason: 'cancelled' })
     },
+    removeWaiting () {
+      const removed = [...waiting.keys()].filter((id) => removeWaiting(admission, id))
+      for (const id of removed) resolveWaiting(id, { type: 'shed', reason: 'stopping' })
+      return removed.length
+    },
     load: () => loadOf(admission),
     running: () => admission.running,
     limit: () => admission.limit.value,
--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -216,6 +216,8 @@
       await pause(Math.min(servesUntil, endsAt) - clock.now())
       await waitUntilIdle(endsAt)
       stop = endStop(stop, clock.now())
+      // Calls that have not run are refused before what runs is given up.
+      if (target.gate.removeWaiting() > 0) await pause(stopPollMs)
       giveUpRunning(running, startedAt, environment)
       await waitForHandover()
       await closeServer(callerServer)
--- a/src/core/node/serve.ts
+++ b/src/core/node/serve.ts
@@ -14,6 +14,7 @@
 import type { Dependencies } from './dependencies.ts'
 import { createDurations } from './durations.ts'
 import type { Dialect } from './dialect.ts'
+import type { Admittance } from './gate.ts'
 import { headerOf } from './headers.ts'
 import type { KeyCheck } from './key-check.ts'
 import { createRefusedIds } from './refused-ids.ts'
@@ -71,6 +72,12 @@
   return headers['content-length'] !== undefined || lastCodingIsChunked.test(String(headers['transfer-encoding']))
 }
 
+/** Returns the failure of a call that the queue before the target shed. */
+function failureOf (reason: Extract<Admittance, { type: 'shed' }>['reason'], service: string): Failure {
+  if (reason === 'too-late') return fail('deadline', { stage: 'while the request waited' })
+  return reason === 'stopping' ? fail('leaving') : fail('overloaded', { service, reason })
+}
+
 /** Creates the part of a node that serves calls with its own target. */
 export function createCallServer (context: ServeContext): CallServer {
   const { dialect, findKeyFailure, mayBegin, peers, target, claims, crashes, spans, dependencies, reportedFractions, decisions, environment } = context
@@ -151,7 +158,7 @@
     if (admittance.type === 'shed') {
       metrics.count(`shed_total{reason="${admittance.reason}",priority="${priority}"}`)
       const isTooLate = admittance.reason === 'too-late'
-      const failure = isTooLate ? fail('deadline', { stage: 'while the request waited' }) : fail('overloaded', { service, reason: admittance.reason })
+      const failure = failureOf(admittance.reason, service)
       decisions.shed(call, failure, admittance.reason, arrivedAt)
       return createRefusal(call, failure, !isTooLate)
     }
