A call whose body is still arriving when a stop ends is refused as not run

What callers would see: 504, may have run, for an upload that no server has seen; it may not be repeated, so that it is lost for its caller. Cause: the end of a stop gave up every forwarded call in the same words, whether it had been begun or not. Change: a call that has not been begun is refused, which lets its node try elsewhere, and is not served when its body arrives later. Evidence: test/node/peer-calls.test.ts; before, the message was a failure that may have run.

--- a/src/core/node/peer-calls.ts
+++ b/src/core/node/peer-calls.ts
@@ -53,6 +53,9 @@
   }
 }
 
+/** Outcome of a call whose body has not arrived when its node ends. */
+const notBegun: AttemptOutcome & { type: 'refused' } = { type: 'refused', failure: fail('leaving'), elsewhere: true, arrived: false, report: emptyReport }
+
 /** Outcome of a call that still runs when its node ends. */
 const givenUp: AttemptOutcome & { type: 'failed' } = {
   type: 'failed', failure: fail('unknownOutcome', { reason: 'the node of its target stops' }), crashed: false, report: emptyReport
@@ -158,7 +161,17 @@
       resolveReceived = resolve
     })
     const reply = createReply(stream)
-    track(opening.headers, receiving.then((received) => serveReceived(received, opening, reply, stream)), () => reply.report(givenUp))
+    let state: 'arriving' | 'begun' | 'refused' = 'arriving'
+    const work = receiving.then((received) => {
+      if (state === 'refused') return received.type === 'call' ? received.release() : undefined
+      state = 'begun'
+      return serveReceived(received, opening, reply, stream)
+    })
+    const giveUp = () => {
+      reply.report(state === 'begun' ? givenUp : notBegun)
+      if (state === 'arriving') state = 'refused'
+    }
+    track(opening.headers, work, giveUp)
     return createListener(resolveReceived)
   }
   const accept: StreamAcceptor = (value, stream) => {
--- a/test/node/peer-calls.test.ts
+++ b/test/node/peer-calls.test.ts
@@ -109,6 +109,22 @@
   }))
 })
 
+test('a call whose body is still arriving when a stop ends is refused as not run, and does not run when it has arrived', () => {
+  let served = 0
+  return upload(async (stream, active, _ends, { giveUp, messages }) => {
+    giveUp[0]()
+    await pause(50)
+    stream.bytes(Buffer.from('body'))
+    stream.end()
+    await pause(50)
+    assert.match(JSON.stringify(messages), /"refused".*leaving/)
+    assert.deepEqual([served, active(), messages.length], [0, 0, 1])
+  }, async (call, sink) => {
+    served++
+    return await answerAtOnce(call, sink)
+  })
+})
+
 test('a call for whose body there is no room is refused as not run, and its node sends no more of it', () => {
   const budget = createBodyBudget(1024 * 1024)
   for (let count = 0; count < 32; count++) budget.reserve(1024 * 1024, 0)
