What a stop begins late goes by calls that were answered well, and no later attempt passes its own stop

Cause: the estimate knew only the few short calls of such a process; one call sufficed, and quick errors counted, too.

--- a/src/core/node/attempts.ts
+++ b/src/core/node/attempts.ts
@@ -12,11 +12,13 @@
 import { inProgressPriority } from './constants.ts'
 import type { Decisions, TurnAway } from './decisions.ts'
 import { createDurations } from './durations.ts'
+import type { CallEnd } from './durations.ts'
 import { countEndpoints, endpointsByService, nextEndpoints } from './endpoints.ts'
 import type { Endpoint, ServiceEndpoints } from './endpoints.ts'
 import type { Forwarder } from './forward.ts'
 import type { CallServer } from './serve.ts'
-import { calleeKey, emptyReport } from './types.ts'
+import type { StoppingRequest } from './stop.ts'
+import { calleeKey, callEndOf, emptyReport } from './types.ts'
 import type { AttemptOutcome, Call, CallContext, Sink } from './types.ts'
 
 /** Maximum number of endpoints tried for one attempt while nodes refuse it before their targets receive it. */
@@ -29,6 +31,8 @@
   send: (call: Call, budget: Budget, sink: Sink) => Promise<AttemptOutcome>
   /** Returns the longest time in ms that calls to a service and route have taken lately; undefined when none has ended. */
   longestMs: (callee: Pick<CallContext, 'service' | 'route'>) => number | undefined
+  /** Takes over changes of the list of members; the time of this call counts as the time at which their stops became known. */
+  refreshMembers: () => void
   close: () => void
 }
 
@@ -46,21 +50,35 @@
   return last.type === 'refused' && mayHaveRun !== undefined ? { ...mayHaveRun, report: last.report } : last
 }
 
+/** Services and state that the sending side uses. */
+export interface SendContext {
+  peers: Peers
+  server: CallServer
+  forwarder: Forwarder
+  /** Retries per service that all nodes together may make in a short time beyond a tenth of the successes. */
+  fleetRetries: number
+  reportedFractions: ReportedFractions
+  /** Returns false for an attempt that this node no longer begins because it stops. */
+  mayBegin: (attempt: StoppingRequest) => boolean
+  /** Time for which a target that leaves by itself still gets requests, in ms. */
+  drainMs: number
+  decisions: Decisions
+  environment: Environment
+}
+
 /** Creates the part of a node that calls targets. */
-export function createCallSender (
-  peers: Peers, server: CallServer, forwarder: Forwarder, fleetRetries: number, reportedFractions: ReportedFractions, decisions: Decisions,
-  { clock, random, metrics }: Environment
-): CallSender {
+export function createCallSender ({ peers, server, forwarder, fleetRetries, reportedFractions, mayBegin, drainMs, decisions, environment }: SendContext): CallSender {
+  const { clock, random, metrics } = environment
   const statsByNode = createTargetStats()
   const retryTokens = createRetryTokens()
   const throttle = createThrottle()
   const durations = createDurations(clock)
-  const stops = createKnownStops(clock)
+  const stops = createKnownStops(clock, drainMs)
   let endpoints = new Map<string, ServiceEndpoints>()
   let indexedMembers: readonly Member[] | undefined
   const timer = setInterval(() => pruneThrottle(throttle, clock.now()), pruneEveryMs)
 
-  const findEndpoints = (service: string): ServiceEndpoints | undefined => {
+  const refreshMembers = () => {
     const members = peers.members()
     if (members !== indexedMembers) {
       stops.update(members)
@@ -68,6 +86,9 @@
       divideFleetRetries(retryTokens, fleetRetries, members.filter(({ role }) => role === 'node').length)
     }
     indexedMembers = members
+  }
+  const findEndpoints = (service: string): ServiceEndpoints | undefined => {
+    refreshMembers()
     return endpoints.get(service)
   }
   const attemptOnce = async (call: Call, budget: Budget, endpoint: Endpoint, sink: Sink, waitMs: number | undefined): Promise<AttemptOutcome> => {
@@ -101,6 +122,8 @@
     const elsewhere = outcome.type === 'refused' ? outcome.elsewhere : true
     return mayRetry({ notRun, crashed, suspect: call.context.suspect, elsewhere }, call.context.idempotent, call.deadlineAt - clock.now())
   }
+  const mayBeginAnother = ({ context, deadlineAt }: Call): boolean =>
+    mayBegin({ source: 'caller', timeoutMs: deadlineAt - clock.now(), longestMs: durations.longest(calleeKey(context)) })
   const turnAway = (call: Call, reason: string, rule: TurnAway['rule']): AttemptOutcome => {
     const failure = fail('overloaded', { service: call.context.service, reason })
     decisions.turnAway(call, failure, { rule, fraction: reportedFractionOf(reportedFractions, calleeKey(call.context), clock.now()) })
@@ -150,6 +173,7 @@
       tried.add(chosen.node)
       if (outcome.type === 'refused' && outcome.arrived) refusedBy.add(chosen.node)
       if (!canRetry(next, outcome)) return end('end: a retry is not allowed')
+      if (!mayBeginAnother(call)) return end('end: this node stops')
       if (didNotArrive(outcome)) {
         if (tried.size >= Math.min(countEndpoints(all, call.deadlineAt), maxEndpoints)) return end('end: no endpoint is left to try')
         if ((waitLeft() ?? 1) <= 0) return end('end: no time is left to wait')
@@ -169,11 +193,17 @@
   return {
     async send (call, budget, sink) {
       const recordEnd = durations.begin(calleeKey(call.context))
-      const outcome = await sendUnrecorded(call, budget, sink)
-      recordEnd(outcome.type !== 'refused')
-      return outcome
+      let end: CallEnd = 'failed'
+      try {
+        const outcome = await sendUnrecorded(call, budget, sink)
+        end = callEndOf(outcome)
+        return outcome
+      } finally {
+        recordEnd(end)
+      }
     },
     longestMs: (callee) => durations.longest(calleeKey(callee)),
+    refreshMembers,
     close: () => clearInterval(timer)
   }
 }
--- a/src/core/node/endpoints.ts
+++ b/src/core/node/endpoints.ts
@@ -7,7 +7,7 @@
 /** A target with the address of its node. */
 export interface Endpoint extends Candidate {
   address: string
-  /** Planned stop of the node, if it stops. */
+  /** End of the time in which the target gets calls, if its node stops or it leaves. */
   stop?: KnownStop
 }
 
@@ -15,7 +15,7 @@
 export interface ServiceEndpoints {
   /** Those that are up, else those whose node is suspected. */
   staying: readonly Endpoint[]
-  /** Those whose target or node leaves. */
+  /** Those whose target or node leaves, else such whose node is suspected. */
   leaving: readonly Endpoint[]
 }
 
@@ -34,11 +34,12 @@
   const select = (isWanted: (member: Member) => boolean) => selectEndpoints(members, stops, isWanted)
   const healthy = select(({ target, status }) => target?.state === 'up' && status === 'alive')
   const suspected = select(({ target, status }) => target?.state === 'up' && status !== 'alive')
-  const leaving = select(({ target }) => target?.state === 'leaving')
-  const services = new Set([...healthy.keys(), ...suspected.keys(), ...leaving.keys()])
+  const leaving = select(({ target, status }) => target?.state === 'leaving' && status === 'alive')
+  const lost = select(({ target, status }) => target?.state === 'leaving' && status !== 'alive')
+  const services = new Set([...healthy.keys(), ...suspected.keys(), ...leaving.keys(), ...lost.keys()])
   return new Map([...services].map((service) => [service, {
     staying: healthy.get(service) ?? suspected.get(service) ?? [],
-    leaving: leaving.get(service) ?? []
+    leaving: leaving.get(service) ?? lost.get(service) ?? []
   }]))
 }
 
@@ -66,10 +67,7 @@
   return endpoints.filter((endpoint) => stopEndOf(endpoint) >= lastEndsAt - stopSpreadMs)
 }
 
-/**
- * Returns the leaving endpoints that may get a call. Where others stay, these are only those whose node is known to stop after the deadline: a target
- * that leaves by itself may end sooner than it says.
- */
+/** Returns the leaving endpoints that may get a call. Where others stay, these are only those that are known to take calls until after the deadline. */
 function usableLeaving ({ staying, leaving }: ServiceEndpoints, deadlineAt: number): readonly Endpoint[] {
   if (staying.length === 0) return leaving
   return leaving.filter(({ stop }) => stop !== undefined && stop.endsAt >= deadlineAt)
--- a/src/core/node/entry.ts
+++ b/src/core/node/entry.ts
@@ -116,6 +116,7 @@
     call.cancellation.cancel()
     if (!response.writableFinished && ended.end !== undefined) decisions.recordUndelivered(call, ended.end)
   })
+  if (!context.recordBegun(response)) return refundRate(arrival, context)
   const budget = createBudget(call.context.budget)
   const outcome = await context.callSender.send(call, budget, sink)
   if (outcome.type === 'refused') refundRate(arrival, context)
--- a/src/core/node/filters.ts
+++ b/src/core/node/filters.ts
@@ -1,4 +1,4 @@
-import type { IncomingMessage } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { EffectiveParameters, EffectiveRoute } from '../config/index.ts'
 import { fail, succeed } from '../errors/index.ts'
 import type { Outcome } from '../errors/index.ts'
@@ -52,6 +52,10 @@
   findKeyFailure: KeyCheck
   /** Returns false for a request that this node no longer begins because it stops. */
   mayBegin: (request: StoppingRequest) => boolean
+  /** Returns true while the node's own target works on a request. */
+  isTargetWorking: () => boolean
+  /** Records that a request was passed on and may run from now on. Returns false for one that has been answered meanwhile. */
+  recordBegun: (response: ServerResponse) => boolean
   decisions: Decisions
   environment: Environment
 }
@@ -169,7 +173,8 @@
   const { route, callerRequest } = arrival
   if (route === undefined) return accepted
   // Without its calls a request in progress fails; the stop waits for both.
-  const longestMs = isCallInProgress(arrival, context) ? context.callSender.longestMs({ service: route.service, route: route.name }) : undefined
+  const isNeeded = context.isTargetWorking() && isCallInProgress(arrival, context)
+  const longestMs = isNeeded ? context.callSender.longestMs({ service: route.service, route: route.name }) : undefined
   const timeoutMs = requestTimeoutMs(route, callerRequest)
   return context.mayBegin({ source: 'caller', timeoutMs, longestMs }) ? accepted : fail('leaving')
 }
--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -118,11 +118,23 @@
   peers.onMemberChange((member) => {
     if (member.status !== 'alive') forwarder.probeNode(member.address)
   })
-  const callSender = createCallSender(peers, server, forwarder, options.fleetRetries ?? Infinity, reportedFractions, decisions, environment)
+  const callSender = createCallSender({
+    peers, server, forwarder, fleetRetries: options.fleetRetries ?? Infinity, reportedFractions, mayBegin, drainMs, decisions, environment
+  })
+  peers.onMemberChange((member) => {
+    if (member.leaving === true || member.target?.state === 'leaving') callSender.refreshMembers()
+  })
   const refusals = createRefusals(claims, dialect, random, clock)
   const bodyBudget = createBodyBudget(maxPeerBodyBytes)
-  const entryContext = { dialect, dependencies, peers, directory, rates, callSender, refusals, bodyBudget, findKeyFailure, mayBegin, decisions, environment }
-  const outgoingContext = { dialect, dependencies, findKeyFailure, peers, directory, spans, callSender, refusals, bodyBudget, mayBegin, decisions, environment }
+  const begunResponses = new WeakSet<ServerResponse>()
+  const recordBegun = (response: ServerResponse): boolean => {
+    if (response.headersSent) return false
+    begunResponses.add(response)
+    return true
+  }
+  const isTargetWorking = () => server.running() > 0
+  const entryContext = { dialect, dependencies, peers, directory, rates, callSender, refusals, bodyBudget, findKeyFailure, mayBegin, isTargetWorking, recordBegun, decisions, environment }
+  const outgoingContext = { dialect, dependencies, findKeyFailure, peers, directory, spans, callSender, refusals, bodyBudget, mayBegin, recordBegun, decisions, environment }
   const backlog = createBacklog(clock)
   const running = createRunningRequests(clock)
 
@@ -130,10 +142,17 @@
     metrics.count('broken_invariants_total')
     log.error('request failed with an unexpected error', { error: error.stack })
   }
+  /** Ends a response when a stop does. An answer that is complete stays, because its client may read it until connections are closed. */
+  const giveUp = (response: ServerResponse) => {
+    const endIsVisible = response.useChunkedEncodingByDefault
+    if (response.writableEnded && endIsVisible) return
+    if (response.headersSent) return abortResponse(response)
+    refusals.refuseGivenUp(response, begunResponses.has(response))
+  }
   /** Counts a request as running until its response is closed; a stop waits for running requests. Begins it unless its client has left by then. */
   const trackResponse = (request: IncomingMessage, response: ServerResponse, serve: () => Promise<void>) => {
     const id = request.headers[dialect.requestIdHeader]?.toString()
-    response.once('close', running.begin({ id, source: 'caller', giveUp: () => response.headersSent ? abortResponse(response) : refusals.refuseGivenUp(response) }))
+    response.once('close', running.begin({ id, source: 'caller', giveUp: () => giveUp(response) }))
     backlog.run(() => {
       if (hasLeft(request, response)) {
         metrics.count('requests_abandoned_total')
--- a/src/core/node/outgoing.ts
+++ b/src/core/node/outgoing.ts
@@ -36,6 +36,8 @@
   bodyBudget: BodyBudget
   /** Returns false for a call that this node no longer begins because it stops. */
   mayBegin: (call: StoppingRequest) => boolean
+  /** Records that a call was passed on and may run from now on. Returns false for one that has been answered meanwhile. */
+  recordBegun: (response: ServerResponse) => boolean
   decisions: Decisions
   environment: Environment
 }
@@ -108,6 +110,7 @@
   response.once('close', body.value.release)
   const outgoingCall = createOutgoingCall(request, span, body.value, context)
   if ('ok' in outgoingCall) return refuse(outgoingCall)
+  if (!context.recordBegun(response)) return
   const stopListening = span.cancellation.listen(() => outgoingCall.cancellation.cancel())
   const sink = createResponseSink(response)
   response.once('close', () => {
--- a/src/core/node/serve.ts
+++ b/src/core/node/serve.ts
@@ -13,6 +13,7 @@
 import type { ExchangeError } from './exchange.ts'
 import type { Dependencies } from './dependencies.ts'
 import { createDurations } from './durations.ts'
+import type { CallEnd } from './durations.ts'
 import type { Dialect } from './dialect.ts'
 import type { Admittance } from './gate.ts'
 import { headerOf } from './headers.ts'
@@ -23,12 +24,9 @@
 import type { Span, Spans } from './spans.ts'
 import type { StoppingRequest } from './stop.ts'
 import type { OwnTarget } from './target.ts'
-import { emptyReport } from './types.ts'
+import { callEndOf, emptyReport, firstErrorStatus } from './types.ts'
 import type { AttemptOutcome, Call, CallContext, Report, Sink } from './types.ts'
 
-/** Lowest status of an answer that is neither a success nor a redirect. */
-const firstErrorStatus = 400
-
 /** Status of a target that is not the intended one (misdirected request). */
 const misdirectedStatus = 421
 
@@ -129,9 +127,14 @@
 
   const serve = async (call: Call, sink: Sink): Promise<AttemptOutcome> => {
     const recordEnd = durations.begin(call.context.route)
-    const outcome = await serveUnlessRefused(call, sink)
-    recordEnd(outcome.type !== 'refused')
-    return outcome
+    let end: CallEnd = 'failed'
+    try {
+      const outcome = await serveUnlessRefused(call, sink)
+      end = callEndOf(outcome)
+      return outcome
+    } finally {
+      recordEnd(end)
+    }
   }
 
   const serveUnlessRefused = async (call: Call, sink: Sink): Promise<AttemptOutcome> => {
--- a/src/core/node/stop.ts
+++ b/src/core/node/stop.ts
@@ -9,9 +9,9 @@
   endsAt: number
 }
 
-/** A call is expected to take at most this many times as long as the longest recent one, and `marginMs` more. */
-const durationFactor = 3
-const marginMs = 500
+/** A call is expected to take at most this many times as long as the longest recent one, and `marginMs` more, in which also a late event loop ends it. */
+const durationFactor = 2
+const marginMs = 1500
 
 /** Ends a stop before its time, when nothing runs any more. What is read while connections are closed is not begun. */
 export function endStop (stop: Stop, now: number): Stop {
--- a/src/core/node/types.ts
+++ b/src/core/node/types.ts
@@ -1,4 +1,5 @@
 import type { Failure } from '../errors/index.ts'
+import type { CallEnd } from './durations.ts'
 import type { RequestSource } from './running.ts'
 
 /** Context of a call that is sent between nodes, but not to the target. */
@@ -107,6 +108,15 @@
   /** The answer started but was aborted. */
   | { type: 'broken', report: Report }
 
+/** Lowest status of an answer that is neither a success nor a redirect. */
+export const firstErrorStatus = 400
+
+/** Returns how a call ended, for the record of durations. */
+export function callEndOf (outcome: AttemptOutcome): CallEnd {
+  if (outcome.type === 'refused') return 'not-run'
+  return outcome.type === 'answered' && outcome.status < firstErrorStatus ? 'answered' : 'failed'
+}
+
 /** Report of a call in which no target took part. */
 export const emptyReport: Report = { used: 0, load: 0, shed: false }
 
