A probe of a target reads what happened before it judges by the time

Seen: test/node/target.test.ts "a process that accepts the connection of a probe while it ends counts as ended" failed once in a run at a load of 19; 8 of 12 runs at a load of 22 beside three busy loops.

Cause, in the product: a probe watched for 100 ms of wall-clock time. When its process does not run for that long, the timer of the watch is served first in the next turn of the event loop, and what has arrived meanwhile (the connection's end) only after it: an ended target counted as alive, and the next attempt went to it. The test's fake is in the same process, which makes that likely under load; nothing is wrong with what it expects.

Change: the watch counts ten steps of 10 ms, each a turn of the event loop, instead of time.

Why it works: between two steps the loop reads its sockets, so that each verdict comes after what had happened by then; a stall costs one step, whatever its length. A probe that is not stalled takes 100 ms as before.

--- a/src/core/node/target.ts
+++ b/src/core/node/target.ts
@@ -14,26 +14,34 @@
 const connectTimeoutMs = 1000
 const targetKeepAliveMs = 4000
 
-/** Time for which a probe watches whether a target goes on to listen, in milliseconds. */
-const probeTimeMs = 100
+/** Length of one step of a probe, in milliseconds. */
+const probeStepMs = 10
 
-/** Pause of a probe after the target closed its connection, in milliseconds. */
-const probePauseMs = 10
+/** Steps for which a probe watches whether a target goes on to listen: 100 ms in which this process runs. */
+const probeSteps = 10
 
 /** What became of a connection that was opened to probe a target. */
 type ProbeEnd = 'refused' | 'closed' | 'open'
 
-/** Opens a connection and watches it for `watchMs`. A connection attempt without an answer counts as open. */
-function probeConnection (host: string, port: number, watchMs: number): Promise<ProbeEnd> {
+/** What is left of the time of a probe. Steps are counted, not time: what happened while this process did not run is read only in the turn after. */
+interface Watch {
+  stepsLeft: number
+}
+
+/** Opens a connection and watches it for the rest of the watch. A connection attempt without an answer counts as open. */
+function probeConnection (host: string, port: number, watch: Watch): Promise<ProbeEnd> {
   return new Promise((resolve) => {
     const socket = connect({ host, port })
     let connected = false
     const end = (result: ProbeEnd) => {
-      clearTimeout(timer)
+      clearInterval(timer)
       socket.destroy()
       resolve(result)
     }
-    const timer = setTimeout(() => end('open'), watchMs)
+    const timer = setInterval(() => {
+      watch.stepsLeft--
+      if (watch.stepsLeft <= 0) end('open')
+    }, probeStepMs)
     socket.resume()
     socket.once('connect', () => {
       connected = true
@@ -47,12 +55,13 @@
  * Returns false once a target refuses a connection within the probe time. A process that ends closes its connections before its listener, which
  * accepts others until then, so one connection accepted proves nothing. Neither does one closed: a target may close those over its limit.
  */
-async function listensThroughout (host: string, port: number, clock: Environment['clock']): Promise<boolean> {
-  const endsAt = clock.now() + probeTimeMs
-  while (clock.now() < endsAt) {
-    const result = await probeConnection(host, port, endsAt - clock.now())
+async function listensThroughout (host: string, port: number): Promise<boolean> {
+  const watch = { stepsLeft: probeSteps }
+  while (watch.stepsLeft > 0) {
+    const result = await probeConnection(host, port, watch)
     if (result !== 'closed') return result === 'open'
-    await pause(probePauseMs)
+    await pause(probeStepMs)
+    watch.stepsLeft--
   }
   return true
 }
@@ -177,7 +186,7 @@
     async probe () {
       if (lastAnnouncement === undefined) return false
       const { host, port } = splitAddress(lastAnnouncement.address)
-      const alive = await listensThroughout(host, port, clock)
+      const alive = await listensThroughout(host, port)
       if (!alive) setDown()
       return alive
     },
--- a/test/node/target.test.ts
+++ b/test/node/target.test.ts
@@ -200,6 +200,17 @@
   assert.equal(await probeTarget(endSoon((socket) => socket.destroy())), false)
 })
 
+// The probe judged by the time that had passed, before it read what had happened in that time.
+test('a process that ends while the one that probes it does not run counts as ended', async () => {
+  const endAndStall = (endConnection: (socket: Socket) => void) => endSoon((socket) => {
+    endConnection(socket)
+    const until = performance.now() + 150
+    while (performance.now() < until);
+  })
+  assert.equal(await probeTarget(endAndStall((socket) => socket.resetAndDestroy())), false)
+  assert.equal(await probeTarget(endAndStall((socket) => socket.destroy())), false)
+})
+
 test('a target that keeps the connection of a probe, or closes it and goes on to listen, counts as alive', async () => {
   const sockets: Socket[] = []
   assert.equal(await probeTarget((socket) => void sockets.push(socket)), true)
