--- a/src/core/storage/log-store.ts
+++ b/src/core/storage/log-store.ts
@@ -23,13 +23,13 @@
   fresh: boolean
 }
 
-function readRecords (disk: Disk, path: string): Outcome<{ records: unknown[], torn: boolean, intactBytes: number }> {
+function readRecords (disk: Disk, path: string): Outcome<{ records: unknown[], torn: boolean, intactBytes: number, exists: boolean }> {
   const content = disk.read(path)
-  if (content === undefined) return succeed({ records: [], torn: false, intactBytes: 0 })
+  if (content === undefined) return succeed({ records: [], torn: false, intactBytes: 0, exists: false })
   const decoded = decodeRecords(path, content)
   if (!decoded.ok) return decoded
   const { records, intactBytes } = decoded.value
-  return succeed({ records, torn: intactBytes < content.length, intactBytes })
+  return succeed({ records, torn: intactBytes < content.length, intactBytes, exists: true })
 }
 
 function replay (file: string, records: readonly LogRecord[], snapshot: Snapshot): Outcome<Stored> {
@@ -51,6 +51,16 @@
   return succeed({ hardState, snapshot, entries })
 }
 
+/** Reads the snapshot of a folder; undefined where there is none. A file that does not hold exactly one whole snapshot is a failure. */
+function readSnapshot (disk: Disk, path: string): Outcome<Snapshot | undefined> {
+  const read = readRecords(disk, path)
+  if (!read.ok) return read
+  const { records, torn, intactBytes, exists } = read.value
+  if (!exists) return succeed(undefined)
+  if (torn || records.length !== 1) return fail('corruptData', { file: path, offset: intactBytes, reason: 'the file does not hold one whole snapshot' })
+  return succeed(records[0] as Snapshot)
+}
+
 function encodeLog (hardState: HardState | undefined, entries: readonly Entry[]): Buffer {
   const records: Buffer[] = []
   if (hardState !== undefined) records.push(encodeRecord({ type: 'hard-state', hardState } satisfies LogRecord))
@@ -63,14 +73,11 @@
   const logPath = join(folder, 'log')
   const snapshotPath = join(folder, 'snapshot')
   disk.makeFolder(folder)
-  const snapshots = readRecords(disk, snapshotPath)
-  if (!snapshots.ok) return snapshots
-  if (snapshots.value.torn) {
-    return fail('corruptData', { file: snapshotPath, offset: snapshots.value.intactBytes, reason: 'the snapshot is cut off' })
-  }
+  const read = readSnapshot(disk, snapshotPath)
+  if (!read.ok) return read
+  const snapshot = read.value
   const log = readRecords(disk, logPath)
   if (!log.ok) return log
-  const snapshot = snapshots.value.records[0] as Snapshot | undefined
   const stored = replay(logPath, log.value.records as LogRecord[], snapshot ?? initial)
   if (!stored.ok) return stored
   if (log.value.torn) disk.truncate(logPath, log.value.intactBytes)
--- a/test/storage/log-store.test.ts
+++ b/test/storage/log-store.test.ts
@@ -120,6 +120,22 @@
   assert.equal(opened.ok, false)
 })
 
+test('a snapshot cut at any byte, emptied or followed by garbage is never taken for whole or for none, also with a cut log', () => {
+  const disk = createFilledDisk(3)
+  openStore(disk).store.saveSnapshot({ index: 3, term: 1, members: [], state: 'long enough' }, hardState, [])
+  const whole = Buffer.from(disk.contents('data/snapshot') ?? [])
+  const log = Buffer.from(disk.contents('data/log') ?? [])
+  const garbage = [Buffer.alloc(1), Buffer.alloc(4096), Buffer.alloc(4096, 0xff), whole]
+  const damaged = [...Array(whole.length).keys()].flatMap((size) => [whole.subarray(0, size), Buffer.concat([whole.subarray(0, size), Buffer.alloc(whole.length - size)])])
+  for (const snapshot of [...damaged, ...garbage.map((rest) => Buffer.concat([whole, rest]))]) {
+    for (const logSize of [log.length, log.length - 1, 0]) {
+      disk.overwrite('data/snapshot', snapshot)
+      disk.overwrite('data/log', log.subarray(0, logSize))
+      assert.equal(openLogStore(disk, 'data', initial).ok, false, `${snapshot.length} bytes of a snapshot, ${logSize} of a log`)
+    }
+  }
+})
+
 test('entries that follow a gap fail the opening', () => {
   const disk = createFilledDisk(2)
   openStore(disk).store.save(undefined, [createEntry(5)])
