--- a/src/core/storage/log-store.ts
+++ b/src/core/storage/log-store.ts
@@ -32,6 +32,10 @@
   return succeed({ records, torn: intactBytes < content.length, intactBytes, exists: true })
 }
 
+/**
+ * Replays a log onto its snapshot. Power may have failed between the two files, so that the log still holds what the snapshot replaced: entries of a
+ * term before that of the snapshot can't follow it, since what it holds is committed.
+ */
 function replay (file: string, records: readonly LogRecord[], snapshot: Snapshot): Outcome<Stored> {
   let hardState: HardState = { term: 0, votedFor: null }
   const entries: Entry[] = []
@@ -41,14 +45,15 @@
       continue
     }
     const position = record.entry.index - snapshot.index - 1
-    if (position < 0) continue
     if (position > entries.length) {
       return fail('corruptData', { file, offset: 0, reason: `entry ${record.entry.index} follows a gap` })
     }
-    entries.length = position
-    entries.push(record.entry)
+    // An entry that the snapshot covers replaces those after it, too.
+    entries.length = Math.max(0, position)
+    if (position >= 0) entries.push(record.entry)
   }
-  return succeed({ hardState, snapshot, entries })
+  const follow = entries.length > 0 && entries[0].term >= snapshot.term
+  return succeed({ hardState, snapshot, entries: follow ? entries : [] })
 }
 
 /** Reads the snapshot of a folder; undefined where there is none. A file that does not hold exactly one whole snapshot is a failure. */
--- a/test/storage/log-store.test.ts
+++ b/test/storage/log-store.test.ts
@@ -136,6 +136,27 @@
   }
 })
 
+test('entries replaced before a snapshot do not come back when power fails between its file and the log', () => {
+  const disk = createFilledDisk(10)
+  const { store } = openStore(disk)
+  for (const index of [5, 6, 7]) store.save({ term: 2, votedFor: null }, [createEntry(index, 2)])
+  const log = disk.contents('data/log') ?? new Uint8Array()
+  store.saveSnapshot({ index: 7, term: 2, members: [], state: 's' }, { term: 2, votedFor: null }, [])
+  disk.overwrite('data/log', log)
+  assert.deepEqual(openStore(disk).stored.entries, [])
+})
+
+test('entries of an older term do not follow a received snapshot when power fails between its file and the log', () => {
+  const disk = createFilledDisk(10)
+  const { store } = openStore(disk)
+  const log = disk.contents('data/log') ?? new Uint8Array()
+  store.saveSnapshot({ index: 7, term: 2, members: [], state: 's' }, { term: 2, votedFor: null }, [])
+  disk.overwrite('data/log', log)
+  assert.deepEqual(openStore(disk).stored.entries, [])
+  openStore(disk).store.save({ term: 2, votedFor: null }, [createEntry(8, 2)])
+  assert.deepEqual(openStore(disk).stored.entries.map(({ index, term }) => [index, term]), [[8, 2]])
+})
+
 test('entries that follow a gap fail the opening', () => {
   const disk = createFilledDisk(2)
   openStore(disk).store.save(undefined, [createEntry(5)])
