--- a/src/core/http/index.ts
+++ b/src/core/http/index.ts
@@ -1,3 +1,5 @@
+export { createAnswerRoom, maxHeldBytes, takeTimeoutMs } from './answer-room.ts'
+export type { AnswerRoom } from './answer-room.ts'
 export { readDocument, readText } from './document.ts'
 export type { DocumentLimits, ReadDocument } from './document.ts'
 export { createConnector } from './connect.ts'
--- a/src/core/peers/peers.ts
+++ b/src/core/peers/peers.ts
@@ -299,6 +299,8 @@
     return answers.filter((answer) => !answer.ok || !answer.value).length
   }
   const buildFetchReply = ({ since }: { since: number }): FetchReply => {
+    // Before it is encoded, which costs as much as the answer itself.
+    if (!rpcServer.hasRoom()) throw new Error('other answers wait for their readers; ask again')
     const newerDeltas = deltas.filter((delta) => delta.revision > since)
     const isComplete = newerDeltas.length > 0 && newerDeltas[0].revision === since + 1
     if (isComplete) return { deltas: newerDeltas }
