--- a/src/core/config/replica.ts
+++ b/src/core/config/replica.ts
@@ -1,4 +1,4 @@
-import type { Configuration, Delta } from './types.ts'
+import type { Configuration, Delta, Difference } from './types.ts'
 
 /** Creates an empty configuration. */
 export function emptyConfiguration (): Configuration {
@@ -31,16 +31,22 @@
 }
 
 /**
- * Removes every deployment but the last one from the deltas, because deployments may be large. Deltas are applied in
- * sequence, and a later deployment replaces an earlier one completely.
+ * Removes from the deltas what a later one replaces, so that together they hold each item once at most. Deltas are applied in sequence up to the newest, so that
+ * a later value of an item replaces an earlier one completely.
  */
-export function dropSupersededDeployments (deltas: Delta[]): Delta[] {
-  const last = deltas.findLastIndex(({ differences }) => differences.some(({ collection }) => collection === 'deployments'))
-  return deltas.map((delta, index) => {
-    if (index >= last) return delta
-    const differences = delta.differences.filter(({ collection }) => collection !== 'deployments')
-    return differences.length === delta.differences.length ? delta : { ...delta, differences }
-  })
+export function dropSuperseded (deltas: readonly Delta[]): Delta[] {
+  const later = new Set<string>()
+  const kept: Delta[] = []
+  for (const delta of [...deltas].reverse()) {
+    const differences = delta.differences.filter((difference) => !later.has(keyOf(difference)))
+    for (const difference of delta.differences) later.add(keyOf(difference))
+    kept.push(differences.length === delta.differences.length ? delta : { ...delta, differences })
+  }
+  return kept.reverse()
+}
+
+function keyOf ({ collection, name }: Difference): string {
+  return `${collection} ${name}`
 }
 
 /** Returns the newer of two configurations. */
--- a/src/core/peers/peers.ts
+++ b/src/core/peers/peers.ts
@@ -16,7 +16,7 @@
 import type { Effect, EncodedMember, EncodedPacket, Event, Member, Packet, State, Target, Version } from '../membership/index.ts'
 import { acceptBeacon, advanceRevision, beaconAge, createFreshness, decodeAgedBeacon, encodeBeacon } from '../freshness/index.ts'
 import type { Beacon, EncodedBeacon, Freshness } from '../freshness/index.ts'
-import { applyDeltas, check, dropSupersededDeployments, emptyConfiguration, newerConfiguration } from '../config/index.ts'
+import { applyDeltas, check, dropSuperseded, emptyConfiguration, newerConfiguration } from '../config/index.ts'
 import type { Configuration, Delta } from '../config/index.ts'
 import { createDatagrams, createRpcClient, createRpcServer, rpcPath } from '../rpc/index.ts'
 import type { Datagrams, RpcClient, RpcServer } from '../rpc/index.ts'
@@ -248,7 +248,7 @@
   const installConfiguration = (next: Configuration, added: readonly Delta[]) => {
     if (next.revision <= configuration.revision) return
     configuration = next
-    deltas = dropSupersededDeployments([...deltas, ...added].slice(-maxKeptDeltas))
+    deltas = dropSuperseded([...deltas, ...added].slice(-maxKeptDeltas))
     advanceRevision(freshness, configuration.revision)
     for (const listener of configurationListeners) listener(configuration)
   }
--- a/src/core/registry/registry.ts
+++ b/src/core/registry/registry.ts
@@ -1,6 +1,6 @@
 import { digest } from '../auth/index.ts'
 import { fail, succeed } from '../errors/index.ts'
-import { dropSupersededDeployments } from '../config/index.ts'
+import { dropSuperseded } from '../config/index.ts'
 import type { Change, ClaimSlot, Configuration, Difference, Key, Versioned } from '../config/index.ts'
 import { applyReady, isNextView } from '../claims/placement.ts'
 import { appendAudit } from './audit.ts'
@@ -51,7 +51,7 @@
 function nextRevision (registry: Registry, differences: Difference[]): void {
   registry.revision++
   registry.deltas.push({ revision: registry.revision, differences })
-  if (differences.some(({ collection }) => collection === 'deployments')) registry.deltas = dropSupersededDeployments(registry.deltas)
+  registry.deltas = dropSuperseded(registry.deltas)
   if (registry.deltas.length > maxDeltas) registry.deltas.shift()
 }
 
