--- a/src/core/control/api.ts
+++ b/src/core/control/api.ts
@@ -6,7 +6,8 @@
 import { toNodeHandler } from 'h3/node'
 import { digest, hashKey } from '../auth/index.ts'
 import { fail } from '../errors/index.ts'
-import { readDocument } from '../http/index.ts'
+import { createAnswerRoom, holdAnswer, readDocument } from '../http/index.ts'
+import type { AnswerRoom } from '../http/index.ts'
 import type { Action, AdminAnswer, AdminRequest } from './types.ts'
 
 const maxBodyBytes = 4 * 1024 * 1024
@@ -69,14 +70,24 @@
 /** Forwards a request to the leader, or handles it when this instance is the leader. */
 export type ForwardRequest = (request: AdminRequest) => Promise<AdminAnswer>
 
-function sendAnswer (event: H3Event, { status, body }: AdminAnswer): unknown {
-  event.res.status = status
-  return body
+function sendWithinRoom (room: AnswerRoom, event: H3Event, { status, body }: AdminAnswer): unknown {
+  const text = JSON.stringify(body ?? null)
+  event.res.headers.set('content-type', 'application/json;charset=UTF-8')
+  if (holdAnswer(room, event, text)) {
+    event.res.status = status
+    return text
+  }
+  const { name, message, hint, status: refused } = fail('noAnswerRoom')
+  event.res.headers.set('retry-after', '1')
+  event.res.status = refused
+  return JSON.stringify({ error: name, message, hint })
 }
 
 /** Creates the HTTP server of the administration API and of the metrics page. */
 export function createAdminServer (forward: ForwardRequest, exposeMetrics: () => string): Server {
   const app = new H3()
+  const room = createAnswerRoom()
+  const sendAnswer = (event: H3Event, answer: AdminAnswer) => sendWithinRoom(room, event, answer)
   app.get('/metrics', (event) => {
     event.res.headers.set('content-type', 'text/plain; version=0.0.4')
     return exposeMetrics()
--- a/src/core/errors/catalogue.ts
+++ b/src/core/errors/catalogue.ts
@@ -117,6 +117,13 @@
     message: ({ status }) => `the target turned the request away with status ${status}, without running it`,
     hint: 'Send again after the time in Retry-After.'
   }),
+  noAnswerRoom: defineEntry({
+    name: 'no_answer_room',
+    title: 'No room for the answer',
+    status: 503,
+    message: () => 'other large answers wait for their readers',
+    hint: 'Send the call again after the time in Retry-After.'
+  }),
   badRequest: defineEntry<{ reason: string }>({
     name: 'bad_request',
     title: 'Bad request',
--- a/src/core/http/answer-room.ts
+++ b/src/core/http/answer-room.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from 'node:http'
+import type { H3Event } from 'h3'
 
 /** Size up to which an answer is sent whatever else is held, in bytes: its connection takes it at once. */
 const smallBytes = 64 * 1024
@@ -35,3 +36,9 @@
     }
   }
 }
+
+/** Holds room for a text with which a call of an operator is answered. Returns false if there is none. */
+export function holdAnswer (room: AnswerRoom, event: H3Event, text: string): boolean {
+  const response = event.runtime?.node?.res as ServerResponse | undefined
+  return response === undefined || room.hold(response, Buffer.byteLength(text))
+}
--- a/src/core/http/index.ts
+++ b/src/core/http/index.ts
@@ -1,4 +1,4 @@
-export { createAnswerRoom, maxHeldBytes, takeTimeoutMs } from './answer-room.ts'
+export { createAnswerRoom, holdAnswer, maxHeldBytes, takeTimeoutMs } from './answer-room.ts'
 export type { AnswerRoom } from './answer-room.ts'
 export { readDocument, readText } from './document.ts'
 export type { DocumentLimits, ReadDocument } from './document.ts'
--- a/test/control/odd-documents.test.ts
+++ b/test/control/odd-documents.test.ts
@@ -1,10 +1,12 @@
 import assert from 'node:assert/strict'
 import type { Server } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import { connect } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import { test } from 'node:test'
 import { setTimeout as pause } from 'node:timers/promises'
 import { createOperatorServer } from '../../platform/operator.ts'
 import { configuration } from '../platform/machines.ts'
+import { maxHeldBytes, takeTimeoutMs } from '../../src/core/http/index.ts'
 import { createAdminServer } from '../../src/core/control/api.ts'
 import type { Control } from '../../src/core/control/index.ts'
 import type { AdminRequest } from '../../src/core/control/types.ts'
@@ -88,3 +90,44 @@
     assert.equal((await replace()).status, 200)
   })
 })
+
+/** Asks for a document and reads nothing of the answer. */
+function askAndStop (url: string, method: string, path: string): Socket {
+  const { port } = new URL(url)
+  const socket = connect(Number(port), '127.0.0.1')
+  socket.pause()
+  socket.on('error', () => {})
+  socket.write(`${method} ${path} HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n`)
+  return socket
+}
+
+const documentBytes = 4 * 1024 * 1024
+const stoppedReaders = 60
+const largeDocument = { source: 'x'.repeat(documentBytes) }
+const platformServer = () => createOperatorServer({ administer: () => Promise.resolve({ status: 200, body: largeDocument }) } as unknown as Control)
+const adminServer = () => createAdminServer(() => Promise.resolve({ status: 200, body: largeDocument }), () => '')
+
+for (const [name, create, method, path] of [['platform', platformServer, 'POST', '/-/rpc?call=config.get'], ['administration', adminServer, 'GET', '/v1/deployment']] as const) {
+  test(`operators who read a large configuration slowly or not at all fill no memory, and others read it again (${name})`, { timeout: 30_000 }, async () => {
+    const server = create()
+    const accepted: Socket[] = []
+    server.on('connection', (socket) => accepted.push(socket))
+    await withServer(server, async (url) => {
+      const stopped: Socket[] = []
+      let largestHeld = 0
+      for (let count = 0; count < stoppedReaders; count++) {
+        stopped.push(askAndStop(url, method, path))
+        await pause(20)
+        largestHeld = Math.max(largestHeld, accepted.reduce((sum, socket) => sum + socket.writableLength, 0))
+      }
+      assert.ok(largestHeld <= maxHeldBytes + 2 * documentBytes, `${largestHeld} bytes were held`)
+      const refused = await fetch(url + path, { method })
+      assert.deepEqual([refused.status, refused.headers.get('retry-after')], [503, '1'])
+      await refused.text()
+      await pause(takeTimeoutMs)
+      const read = await fetch(url + path, { method })
+      assert.deepEqual([read.status, (await read.text()).length >= documentBytes], [200, true])
+      for (const socket of stopped) socket.destroy()
+    })
+  })
+}
