--- a/scripts/support/cluster.ts
+++ b/scripts/support/cluster.ts
@@ -62,8 +62,14 @@
   stop: () => Promise<void>
 }
 
+/** A command that runs the program, with the arguments before those of the program itself. */
+export interface Program {
+  command: string
+  args: readonly string[]
+}
+
 /** Starts a cluster with `controlCount` control instances, distributed over the failure domains in order. */
-export async function createCluster (domains: readonly string[], controlCount = 3): Promise<Cluster> {
+export async function createCluster (domains: readonly string[], controlCount = 3, program: Program = { command: binary, args: [] }): Promise<Cluster> {
   const folder = mkdtempSync(join(tmpdir(), 'dogwoodspring-'))
   const network = await takeLoopbackNetwork()
   const peers = new Map<string, string>()
@@ -75,8 +81,8 @@
 
   const startControl = async (id: string) => {
     const position = [...peers.keys()].indexOf(id)
-    const child = await startChild(id, binary, [
-      'control', '--id', id, '--domain', domains[position % domains.length], '--peer', peers.get(id) ?? '',
+    const child = await startChild(id, program.command, [
+      ...program.args, 'control', '--id', id, '--domain', domains[position % domains.length], '--peer', peers.get(id) ?? '',
       '--admin', `${network.host(1, position + 1)}:0`, '--data', join(folder, id), '--members', members
     ], sharedEnvironment)
     cluster.controls = [...cluster.controls.filter((known) => known.name !== id), child]
@@ -85,7 +91,9 @@
   const startNode = async (name: string, domain: string, earlier?: Child) => {
     const free = `${network.host(10 + Math.floor(nodeCount / 250), nodeCount++ % 250 + 1)}:0`
     const { listen, peer, local } = earlier?.addresses ?? { listen: free, peer: free, local: free }
-    return await startChild(name, binary, ['node', '--id', name, '--domain', domain, '--listen', listen, '--peer', peer, '--local', local, '--seeds', seeds], sharedEnvironment)
+    return await startChild(name, program.command, [
+      ...program.args, 'node', '--id', name, '--domain', domain, '--listen', listen, '--peer', peer, '--local', local, '--seeds', seeds
+    ], sharedEnvironment)
   }
   const startTarget = (options: NodeWithTargetOptions, node: Child, announced?: string) => startChild(`${options.name}-target`, process.execPath, [
     '--import', 'tsx', targetProgram, JSON.stringify({ ...options, local: node.addresses.local, announced })
