A failed script leaves no child behind; the ledger counts calls that are not served

Two of three runs at a load of 22 to 33 ended on an answer 503 or 504, as a rejection while the schedule still ran ended the process before its clean-up: 32 processes stayed, whose loopback addresses the next run met (EADDRINUSE). Failures are kept until the schedule is over, children are ended with the script, and a run with over 1% unserved calls exits with 1.

--- a/scripts/ledger/format.ts
+++ b/scripts/ledger/format.ts
@@ -1,6 +1,7 @@
 import { toThreeDigits } from '../capacity/units.ts'
 import type { ProcessorTime } from '../support/processor.ts'
 import { total } from './arithmetic.ts'
+import { largestUnserved } from './measure.ts'
 import type { BuildLedger, Ledger, Phase, Split } from './measure.ts'
 
 const phases: readonly Phase[] = ['start', 'idle', 'cold', 'warm']
@@ -52,5 +53,6 @@
 
 /** Formats a ledger as Markdown tables. */
 export function formatLedger (ledger: Ledger): string {
-  return [formatEntries(ledger), ...ledger.builds.map(formatSplits)].join('\n')
+  const unserved = `Largest part of calls that were not served: ${toThreeDigits(largestUnserved(ledger))}\n`
+  return [formatEntries(ledger), unserved, ...ledger.builds.map(formatSplits)].join('\n')
 }
--- a/scripts/ledger/index.ts
+++ b/scripts/ledger/index.ts
@@ -6,9 +6,12 @@
 import { writeFileSync } from 'node:fs'
 import { parseArgs } from 'node:util'
 import { formatLedger } from './format.ts'
-import { measureLedger } from './measure.ts'
+import { largestUnserved, measureLedger } from './measure.ts'
 import type { Build } from './measure.ts'
 
+/** Largest part of unserved calls with which a run counts. They cost less than whole ones. */
+const maxUnserved = 0.01
+
 const { values } = parseArgs({
   options: {
     seed: { type: 'string', default: '1' },
@@ -38,4 +41,6 @@
 }, (text) => process.stderr.write(`${new Date().toISOString().slice(11, 19)} ${text}\n`))
 if (values.json !== undefined) writeFileSync(values.json, JSON.stringify(ledger, null, 2) + '\n')
 process.stdout.write(formatLedger(ledger))
-process.exit()
+const isValid = largestUnserved(ledger) <= maxUnserved
+if (!isValid) process.stderr.write('too many calls were not served: the figures of calls are not comparable\n')
+process.exit(isValid ? 0 : 1)
--- a/scripts/ledger/measure.ts
+++ b/scripts/ledger/measure.ts
@@ -1,7 +1,7 @@
 import { readFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { createRandom } from '../../src/core/random/index.ts'
-import { generateLoad, pause, startTarget } from '../support/load.ts'
+import { pause, sendLoad, startTarget } from '../support/load.ts'
 import type { ProcessorTime } from '../support/processor.ts'
 import { divide, toMs, total, usedBetween } from './arithmetic.ts'
 import { createProfileFolder, measureBareStart, monotonicMicroseconds, readTimes, startBareProxies, startBuild, startMs } from './contender.ts'
@@ -55,6 +55,8 @@
   splits: Record<Phase, Split>
   /** Milliseconds a second of an idle control instance. */
   idleControl: ProcessorTime
+  /** Part of the calls without an answer 200, of the measured and the profiled processes. */
+  unserved: Record<'cold' | 'warm', { measured: number, profiled: number }>
 }
 
 /** Result of a run. */
@@ -75,6 +77,8 @@
 
 interface LoadResult {
   window: Window
+  /** Part of the calls that were not answered with 200, by contender. Such calls cost less than whole ones. */
+  unserved: Map<Contender, number>
   /** Processor time a call over both hops in milliseconds, by contender. */
   callMs: Map<Contender, ProcessorTime>
 }
@@ -91,10 +95,11 @@
   const from = monotonicMicroseconds()
   const before = contenders.map(({ hops }) => readTimes(hops))
   const offsetMs = 1000 / rate / contenders.length
-  await Promise.all(contenders.map(({ origin, path, key }, index) => generateLoad(origin, path, key, arrivals.map((arrival) => arrival + index * offsetMs))))
+  const tallies = await Promise.all(contenders.map(({ origin, path, key }, index) => sendLoad(origin, path, key, arrivals.map((arrival) => arrival + index * offsetMs))))
   const used = contenders.map(({ hops }, index) => usedBetween(before[index], readTimes(hops)))
   const callMs = new Map(contenders.map((contender, index) => [contender, toMs(divide(used[index], arrivals.length))]))
-  return { window: { from, to: monotonicMicroseconds() }, callMs }
+  const unserved = new Map(contenders.map((contender, index) => [contender, 1 - tallies[index].latencies.length / arrivals.length]))
+  return { window: { from, to: monotonicMicroseconds() }, unserved, callMs }
 }
 
 /** Measures what nodes and control instances use without load. */
@@ -155,6 +160,10 @@
   return pairs
 }
 
+function unservedOf ({ measured, profiled }: Pair, { unserved }: LoadResult): { measured: number, profiled: number } {
+  return { measured: unserved.get(measured)!, profiled: unserved.get(profiled)! }
+}
+
 function ledgerOf (pair: Pair, folder: ProfileFolder, idle: IdleResult, cold: LoadResult, warm: LoadResult, bare: Contender, bareStart: ProcessorTime): BuildLedger {
   const { measured, profiled } = pair
   const start = mean(measured.starts)
@@ -178,7 +187,8 @@
       cold: split('cold', profiled.hops, cold.window),
       warm: split('warm', profiled.hops, warm.window)
     },
-    idleControl: idle.controlMs.get(measured)!
+    idleControl: idle.controlMs.get(measured)!,
+    unserved: { cold: unservedOf(pair, cold), warm: unservedOf(pair, warm) }
   }
 }
 
@@ -218,3 +228,8 @@
     folder.remove()
   }
 }
+
+/** Returns the largest part of unserved calls of any build and phase. */
+export function largestUnserved ({ builds }: Ledger): number {
+  return Math.max(...builds.flatMap(({ unserved }) => Object.values(unserved).flatMap(({ measured, profiled }) => [measured, profiled])))
+}
--- a/scripts/support/load.ts
+++ b/scripts/support/load.ts
@@ -26,31 +26,49 @@
   return Array.from({ length: rate * seconds }, (_, index) => index * 1000 / rate)
 }
 
-/** Calls `send` at each of the due times, whether or not earlier calls have ended. Resolves when all have. */
+/** Calls `send` at each of the due times, whether or not earlier calls have ended. Resolves when all have, or throws the first failure then. */
 export async function sendAt (arrivals: readonly number[], send: () => Promise<void>): Promise<void> {
   const startedAt = performance.now()
   const running: Array<Promise<void>> = []
+  const failures: unknown[] = []
   for (const arrival of arrivals) {
     const waitMs = startedAt + arrival - performance.now()
     if (waitMs > 0) await pause(waitMs)
-    running.push(send())
+    running.push(send().catch((failure: unknown) => void failures.push(failure)))
   }
   await Promise.all(running)
+  if (failures.length > 0) throw failures[0]
 }
 
-/** Sends requests with a key at the due times. Returns the latencies in ms in ascending order. Throws on an answer other than 200. */
-export async function generateLoad (origin: string, path: string, key: string, arrivals: readonly number[], method: 'GET' | 'POST' = 'GET'): Promise<number[]> {
+/** Answers to the requests of a load. */
+export interface LoadTally {
+  /** Latencies of the answers 200 in ms, in ascending order. */
+  latencies: number[]
+  /** Number of answers by other status. */
+  otherAnswers: Map<number, number>
+}
+
+/** Sends requests with a key at the due times. */
+export async function sendLoad (origin: string, path: string, key: string, arrivals: readonly number[], method: 'GET' | 'POST' = 'GET'): Promise<LoadTally> {
   const pool = new Pool(origin, { connections: connectionsOfLoad, pipelining: 1 })
   const latencies: number[] = []
+  const otherAnswers = new Map<number, number>()
   await sendAt(arrivals, async () => {
     const sentAt = performance.now()
-    const answer = await pool.request({ method, path, headers: { authorization: `Bearer ${key}` } })
-    await answer.body.dump()
-    if (answer.statusCode !== 200) throw new Error(`status ${answer.statusCode} from ${origin}${path}`)
-    latencies.push(performance.now() - sentAt)
+    const { statusCode, body } = await pool.request({ method, path, headers: { authorization: `Bearer ${key}` } })
+    await body.dump()
+    if (statusCode === 200) latencies.push(performance.now() - sentAt)
+    else otherAnswers.set(statusCode, (otherAnswers.get(statusCode) ?? 0) + 1)
   })
   await pool.close()
-  return latencies.sort((left, right) => left - right)
+  return { latencies: latencies.sort((left, right) => left - right), otherAnswers }
+}
+
+/** Sends requests with a key at the due times. Returns the latencies in ms in ascending order. Throws on an answer other than 200. */
+export async function generateLoad (origin: string, path: string, key: string, arrivals: readonly number[], method: 'GET' | 'POST' = 'GET'): Promise<number[]> {
+  const { latencies, otherAnswers } = await sendLoad(origin, path, key, arrivals, method)
+  if (otherAnswers.size > 0) throw new Error(`status ${[...otherAnswers.keys()].join(', ')} from ${origin}${path}`)
+  return latencies
 }
 
 /** Starts a server in this process that answers each request after a fixed time. */
--- a/scripts/support/process.ts
+++ b/scripts/support/process.ts
@@ -4,6 +4,13 @@
 
 const startTimeoutMs = 20_000
 
+const running = new Set<ChildProcess>()
+
+// A script that fails between the start of a child and its own clean-up would leave the child behind.
+process.on('exit', () => {
+  for (const child of running) child.kill('SIGKILL')
+})
+
 /** A child process that prints JSON lines to standard output. */
 export interface Child {
   name: string
@@ -22,6 +29,8 @@
 /** Starts a child process and waits for its first line. */
 export async function startChild (name: string, command: string, args: readonly string[], environment: Record<string, string> = {}): Promise<Child> {
   const child = spawn(command, args, { env: { ...process.env, ...environment }, stdio: ['ignore', 'pipe', 'pipe'] })
+  running.add(child)
+  child.once('exit', () => running.delete(child))
   let log = ''
   child.stderr.on('data', (chunk) => {
     log = (log + String(chunk)).slice(-200_000)
