The ledger can leave profiles out, and lets nodes settle for 8 s

Two builds with their profiled twins are five contenders, which the process with load and targets couldn't keep up with beside a load of 25: up to half of the first calls were refused, and the run was rightly reported as invalid. Without profiles two builds are three contenders.

--- a/scripts/ledger/format.ts
+++ b/scripts/ledger/format.ts
@@ -44,6 +44,7 @@
 }
 
 function formatSplits ({ name, entries, splits }: BuildLedger): string {
+  if (splits === undefined) return ''
   const names = new Set(phases.flatMap((phase) => splits[phase].modules.map(([module]) => module)))
   const fraction = (module: string) => Math.max(...phases.map((phase) => partOf(splits[phase], module) / total(entries[phase].time)))
   const listed = [...names].filter((module) => fraction(module) >= listedFraction)
--- a/scripts/ledger/index.ts
+++ b/scripts/ledger/index.ts
@@ -1,7 +1,7 @@
 /**
  * Measures where processor time goes: seconds a start, milliseconds a second of an idle node, milliseconds a call over two nodes, each split by
  * module, beside bare proxies under the same schedule. Prints tables; --json writes the figures and the functions that cost most to a file.
- * Usage: npm run ledger [-- --seed 1 --build base=FOLDER --build changed=dist --json FILE]
+ * Usage: npm run ledger [-- --seed 1 --build base=FOLDER --build changed=dist --no-profile --json FILE]
  */
 import { writeFileSync } from 'node:fs'
 import { parseArgs } from 'node:util'
@@ -13,14 +13,16 @@
 const maxUnserved = 0.01
 
 const { values } = parseArgs({
+  allowNegative: true,
   options: {
     seed: { type: 'string', default: '1' },
     build: { type: 'string', multiple: true, default: ['dist=dist'] },
     rate: { type: 'string', default: '60' },
     nodes: { type: 'string', default: '4' },
-    idle: { type: 'string', default: '10' },
+    idle: { type: 'string', default: '20' },
     cold: { type: 'string', default: '10' },
     warm: { type: 'string', default: '20' },
+    profile: { type: 'boolean', default: true },
     json: { type: 'string' }
   }
 })
@@ -35,6 +37,7 @@
   seed: Number(values.seed),
   rate: Number(values.rate),
   nodeCount: Number(values.nodes),
+  profile: values.profile,
   idleSeconds: Number(values.idle),
   coldSeconds: Number(values.cold),
   warmSeconds: Number(values.warm)
--- a/scripts/ledger/measure.ts
+++ b/scripts/ledger/measure.ts
@@ -2,6 +2,7 @@
 import { join } from 'node:path'
 import { createRandom } from '../../src/core/random/index.ts'
 import { pause, sendLoad, startTarget } from '../support/load.ts'
+import type { Program } from '../support/cluster.ts'
 import type { ProcessorTime } from '../support/processor.ts'
 import { divide, toMs, total, usedBetween } from './arithmetic.ts'
 import { createProfileFolder, measureBareStart, monotonicMicroseconds, readTimes, startBareProxies, startBuild, startMs } from './contender.ts'
@@ -10,7 +11,7 @@
 import type { CallFrame, Window } from './profile.ts'
 import { poissonArrivals } from './schedule.ts'
 
-const settleMs = 3000
+const settleMs = 8000
 const bareStartCount = 5
 const listedFunctions = 25
 
@@ -27,6 +28,8 @@
   /** Requests a second that each contender gets. */
   rate: number
   nodeCount: number
+  /** Runs profiled processes of each build too. Without them more builds fit beside each other. */
+  profile: boolean
   idleSeconds: number
   coldSeconds: number
   warmSeconds: number
@@ -52,11 +55,12 @@
 export interface BuildLedger {
   name: string
   entries: Record<Phase, Entry>
-  splits: Record<Phase, Split>
+  /** Undefined in a run without profiles. */
+  splits: Record<Phase, Split> | undefined
   /** Milliseconds a second of an idle control instance. */
   idleControl: ProcessorTime
-  /** Part of the calls without an answer 200, of the measured and the profiled processes. */
-  unserved: Record<'cold' | 'warm', { measured: number, profiled: number }>
+  /** Part of the calls without an answer 200, of the measured and of the profiled processes. */
+  unserved: Record<'cold' | 'warm', number[]>
 }
 
 /** Result of a run. */
@@ -72,7 +76,7 @@
 interface Pair {
   build: Build
   measured: BuildContender
-  profiled: BuildContender
+  profiled: BuildContender | undefined
 }
 
 interface LoadResult {
@@ -148,45 +152,57 @@
   return { modules, functions: split(nameOf).slice(0, listedFunctions) }
 }
 
-async function startPairs (builds: readonly Build[], nodeCount: number, folder: ProfileFolder, target: string, started: Contender[]): Promise<Pair[]> {
+async function startPairs ({ builds, nodeCount, profile }: RunOptions, folder: ProfileFolder, target: string, started: Contender[]): Promise<Pair[]> {
   const pairs: Pair[] = []
+  const start = async (name: string, program: Program) => {
+    const contender = await startBuild(name, program, nodeCount, target)
+    started.push(contender)
+    return contender
+  }
   for (const build of builds) {
-    const measured = await startBuild(build.name, { command: join(build.folder, 'dogwoodspring'), args: [] }, nodeCount, target)
-    started.push(measured)
-    const profiled = await startBuild(`${build.name} profiled`, folder.programOf(join(build.folder, 'dogwoodspring.cjs')), nodeCount, target)
-    started.push(profiled)
+    const measured = await start(build.name, { command: join(build.folder, 'dogwoodspring'), args: [] })
+    const profiled = profile ? await start(`${build.name} profiled`, folder.programOf(join(build.folder, 'dogwoodspring.cjs'))) : undefined
     pairs.push({ build, measured, profiled })
   }
   return pairs
 }
 
-function unservedOf ({ measured, profiled }: Pair, { unserved }: LoadResult): { measured: number, profiled: number } {
-  return { measured: unserved.get(measured)!, profiled: unserved.get(profiled)! }
+function contendersOf ({ measured, profiled }: Pair): BuildContender[] {
+  return profiled === undefined ? [measured] : [measured, profiled]
 }
 
-function ledgerOf (pair: Pair, folder: ProfileFolder, idle: IdleResult, cold: LoadResult, warm: LoadResult, bare: Contender, bareStart: ProcessorTime): BuildLedger {
-  const { measured, profiled } = pair
-  const start = mean(measured.starts)
+function unservedOf (pair: Pair, { unserved }: LoadResult): number[] {
+  return contendersOf(pair).map((contender) => unserved.get(contender)!)
+}
+
+function splitEntries (pair: Pair, folder: ProfileFolder, entries: Record<Phase, Entry>, windows: Record<Exclude<Phase, 'start'>, Window>, bareStart: ProcessorTime): BuildLedger['splits'] {
+  const { profiled } = pair
+  if (profiled === undefined) return undefined
   const startWindow = { from: profiled.startedAt, to: profiled.startedAt + startMs * 1000 }
+  const split = (phase: Phase, children: BuildContender['nodes'], window: Window, fixed = 0) =>
+    splitEntry(pair, children, folder, window, total(entries[phase].time), fixed)
+  return {
+    start: split('start', profiled.nodes, startWindow, total(bareStart)),
+    idle: split('idle', profiled.nodes, windows.idle),
+    cold: split('cold', profiled.hops, windows.cold),
+    warm: split('warm', profiled.hops, windows.warm)
+  }
+}
+
+function ledgerOf (pair: Pair, folder: ProfileFolder, idle: IdleResult, cold: LoadResult, warm: LoadResult, bare: Contender, bareStart: ProcessorTime): BuildLedger {
+  const { measured } = pair
   const bareWarm = warm.callMs.get(bare)!
   const entry = (time: ProcessorTime, reference: ProcessorTime): Entry => ({ time, ratio: total(time) / total(reference) })
   const entries = {
-    start: entry(start, bareStart),
+    start: entry(mean(measured.starts), bareStart),
     idle: entry(idle.nodeMs.get(measured)!, bareWarm),
     cold: entry(cold.callMs.get(measured)!, cold.callMs.get(bare)!),
     warm: entry(warm.callMs.get(measured)!, bareWarm)
   }
-  const split = (phase: Phase, children: BuildContender['nodes'], window: Window, fixed = 0) =>
-    splitEntry(pair, children, folder, window, total(entries[phase].time), fixed)
   return {
     name: pair.build.name,
     entries,
-    splits: {
-      start: split('start', profiled.nodes, startWindow, total(bareStart)),
-      idle: split('idle', profiled.nodes, idle.window),
-      cold: split('cold', profiled.hops, cold.window),
-      warm: split('warm', profiled.hops, warm.window)
-    },
+    splits: splitEntries(pair, folder, entries, { idle: idle.window, cold: cold.window, warm: warm.window }, bareStart),
     idleControl: idle.controlMs.get(measured)!,
     unserved: { cold: unservedOf(pair, cold), warm: unservedOf(pair, warm) }
   }
@@ -203,8 +219,8 @@
   try {
     progress('starts')
     const bareStart = await measureBareStarts()
-    const pairs = await startPairs(options.builds, options.nodeCount, folder, target.address, started)
-    const builds = pairs.flatMap(({ measured, profiled }) => [measured, profiled])
+    const pairs = await startPairs(options, folder, target.address, started)
+    const builds = pairs.flatMap(contendersOf)
     await pause(settleMs)
     progress('idle')
     const idle = await measureIdle(builds, options.idleSeconds)
@@ -231,5 +247,5 @@
 
 /** Returns the largest part of unserved calls of any build and phase. */
 export function largestUnserved ({ builds }: Ledger): number {
-  return Math.max(...builds.flatMap(({ unserved }) => Object.values(unserved).flatMap(({ measured, profiled }) => [measured, profiled])))
+  return Math.max(...builds.flatMap(({ unserved }) => Object.values(unserved).flat()))
 }
