The binary carries the compiled code of its bundle

The build now loads the bundle once and stores V8's code for it beside it in the binary; the code is made at the end of that run, so that it has what the modules compiled while they were loaded.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,4 +1,4 @@
-// Bundles the program and injects it into a copy of the Node.js executable.
+// Bundles the program and injects it, with its compiled code, into a copy of the Node.js executable.
 import { build } from 'esbuild'
 import { execFileSync } from 'node:child_process'
 import { chmodSync, copyFileSync, existsSync, mkdirSync, readFileSync, readdirSync, renameSync, statSync, writeFileSync } from 'node:fs'
@@ -7,6 +7,7 @@
 
 const binary = 'dist/dogwoodspring'
 const bundle = 'dist/dogwoodspring.cjs'
+const codeCache = 'dist/dogwoodspring.code'
 const seaFuse = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2'
 
 /** Returns the newest modification time below a folder, in milliseconds. */
@@ -20,7 +21,9 @@
 
 /** Returns true if the binary is newer than its sources. */
 function isUpToDate () {
-  return existsSync(binary) && statSync(binary).mtimeMs > Math.max(newestModificationMs('src'), statSync('package.json').mtimeMs)
+  const files = ['package.json', 'scripts/launcher.cjs', 'scripts/code-cache.cjs']
+  const newestMs = Math.max(newestModificationMs('src'), ...files.map((file) => statSync(file).mtimeMs))
+  return existsSync(binary) && statSync(binary).mtimeMs > newestMs
 }
 
 const { version } = JSON.parse(readFileSync('package.json', 'utf8'))
@@ -67,10 +70,12 @@
 } else if (!(process.argv.includes('--if-stale') && isUpToDate())) {
   mkdirSync('dist', { recursive: true })
   await bundleProgram('src/cli/index.ts', bundle)
+  execFileSync(process.execPath, ['scripts/code-cache.cjs', bundle, codeCache], { stdio: 'ignore' })
   writeFileSync('dist/sea.json', JSON.stringify({
-    main: bundle,
+    main: 'scripts/launcher.cjs',
     output: 'dist/sea.blob',
-    disableExperimentalSEAWarning: true
+    disableExperimentalSEAWarning: true,
+    assets: { bundle, code: codeCache }
   }))
   execFileSync(process.execPath, ['--experimental-sea-config', 'dist/sea.json'], { stdio: 'ignore' })
   const partialBinary = `${binary}.partial`
