--- /dev/null
+++ b/src/core/turns/index.ts
@@ -0,0 +1,1 @@
+export { readArrived } from './read-arrived.ts'
