A planned end of a session tells which calls were never read

Change: the last frame of a session is an acknowledgement with a third field that says that nothing more is received. Its dialer ends the session at once: openings beyond the count are reported as not sent, the others as before. The connection is ended and read for 100 ms at most, as closing it with unread bytes resets it. A stopping node first reads what has arrived, so that it refuses such calls. Why it works: nothing is handled after the final count, and frames arrive in order. Not covered: an end whose count is lost with a broken connection, and calls whose opening was read and whose body was not: still reported as sent.

--- a/src/core/channel/acceptor.ts
+++ b/src/core/channel/acceptor.ts
@@ -53,7 +53,7 @@
     }, disconnectGraceMs)
   }
   const createAcceptedSession = (id: string, host: string): AcceptedSession => {
-    const events = { disconnected: () => scheduleExpiry(id, accepted), accept, sent: (bytes: number) => onSent(host, bytes) }
+    const events = { disconnected: () => scheduleExpiry(id, accepted), ended () {}, accept, sent: (bytes: number) => onSent(host, bytes) }
     const accepted: AcceptedSession = { session: createSession(clock, events, acceptorAcknowledgeMs), expiryTimer: undefined }
     return accepted
   }
--- a/src/core/channel/codec.ts
+++ b/src/core/channel/codec.ts
@@ -9,7 +9,7 @@
 
 function encodeFields (frame: Frame): unknown[] {
   switch (frame.kind) {
-    case frameKind.acknowledge: return [frame.kind, frame.received]
+    case frameKind.acknowledge: return frame.final ? [frame.kind, frame.received, true] : [frame.kind, frame.received]
     case frameKind.probe: return [frame.kind]
     case frameKind.open: return [frame.kind, frame.stream, frame.opening, frame.ended]
     case frameKind.message: return [frame.kind, frame.stream, frame.value]
@@ -36,7 +36,7 @@
   if (kind === frameKind.probe) return { kind }
   if (typeof stream !== 'number') return undefined
   switch (kind) {
-    case frameKind.acknowledge: return { kind, received: stream }
+    case frameKind.acknowledge: return { kind, received: stream, final: value === true }
     case frameKind.open: return { kind, stream, opening: value, ended: ended === true }
     case frameKind.message: return { kind, stream, value }
     case frameKind.bytes: return value instanceof Uint8Array ? { kind, stream, piece: value } : undefined
--- a/src/core/channel/constants.ts
+++ b/src/core/channel/constants.ts
@@ -49,6 +49,9 @@
 /** Time that a session without a connection keeps the frames that its dialer has not received, in milliseconds. */
 export const sessionRetentionMs = 12_000
 
+/** Time for which a connection whose session has ended stays open for the other side to read what was sent last, in milliseconds. */
+export const endGraceMs = 100
+
 /** Maximum number of sessions to one process. Further ones are opened while the first are stalled by lost packets. */
 export const maxSessionsPerPeer = 4
 
--- a/src/core/channel/delivery.ts
+++ b/src/core/channel/delivery.ts
@@ -69,6 +69,12 @@
   return true
 }
 
+/** Returns the streams whose opening frame was sent and not received, once the other side has acknowledged all that it will ever receive. */
+export function unreceivedStreams (delivery: Delivery): Set<number> {
+  const openings = delivery.unacknowledged.filter(({ frame }) => frame.opensStream)
+  return new Set(openings.map(({ frame }) => frame.stream))
+}
+
 /** Returns the age of the oldest unacknowledged frame, in milliseconds. */
 export function oldestUnacknowledgedAge (delivery: Delivery, now: number): number {
   const [oldest] = delivery.unacknowledged
--- a/src/core/channel/dialer.ts
+++ b/src/core/channel/dialer.ts
@@ -98,6 +98,7 @@
         if (peer.session.size() === 0) discard(peer)
         else void dial(peer)
       },
+      ended: () => discard(peer),
       accept (_opening, stream) {
         stream.reset()
         return noopListener
--- a/src/core/channel/session.ts
+++ b/src/core/channel/session.ts
@@ -1,8 +1,8 @@
 import type { Socket } from 'node:net'
 import type { Clock } from '../clock/index.ts'
 import { createDecoder, encodeFrame } from './codec.ts'
-import { acknowledgeBytes } from './constants.ts'
-import { acknowledge, createDelivery, enqueue, oldestUnacknowledgedAge, resumeDelivery, takeUnsent, withdrawUnsent } from './delivery.ts'
+import { acknowledgeBytes, endGraceMs } from './constants.ts'
+import { acknowledge, createDelivery, enqueue, oldestUnacknowledgedAge, resumeDelivery, takeUnsent, unreceivedStreams, withdrawUnsent } from './delivery.ts'
 import { createFlow, creditFor, queueBytes, takePieces } from './flow.ts'
 import type { Flow } from './flow.ts'
 import { frameKind, noopListener } from './types.ts'
@@ -32,6 +32,17 @@
   return abandoned
 }
 
+/**
+ * Ends a connection with its last bytes and lets the other side close it. Closing it at once would reset it if anything lay unread, which may overtake
+ * the last bytes.
+ */
+function endConnection (socket: Socket, lastBytes: Buffer): void {
+  socket.resume()
+  socket.end(lastBytes)
+  const timer = setTimeout(() => socket.destroy(), endGraceMs)
+  socket.once('close', () => clearTimeout(timer))
+}
+
 /** Accepts a stream that the other side opened and returns its listener. */
 export type StreamAcceptor = (opening: unknown, stream: Stream) => StreamListener
 
@@ -41,6 +52,8 @@
   sent: (bytes: number) => void
   /** The connection broke or sent data of another protocol. The session continues when a new one is attached. */
   disconnected: () => void
+  /** The other side has ended the session as planned: it has counted all that it received, and sends nothing more. */
+  ended: () => void
   accept: StreamAcceptor
 }
 
@@ -83,6 +96,8 @@
   let flushScheduled = false
   let acknowledgeTimer: NodeJS.Timeout | undefined
   let unacknowledgedBytes = 0
+  let isClosed = false
+  let hasOtherEnded = false
 
   const flush = () => {
     flushScheduled = false
@@ -106,7 +121,7 @@
     acknowledgeTimer = undefined
     unacknowledgedBytes = 0
     delivery.reported = delivery.received
-    return encodeFrame({ kind: frameKind.acknowledge, received: delivery.received })
+    return encodeFrame({ kind: frameKind.acknowledge, received: delivery.received, final: isClosed })
   }
   const acknowledgeNow = () => {
     acknowledgeTimer = undefined
@@ -164,7 +179,7 @@
 
   const handle = (frame: Frame) => {
     switch (frame.kind) {
-      case frameKind.acknowledge: return acknowledge(delivery, frame.received)
+      case frameKind.acknowledge: return receiveAcknowledgement(frame.received, frame.final)
       case frameKind.probe: return acknowledgeNow()
     }
     delivery.received++
@@ -172,6 +187,12 @@
     const stream = streams.get(frame.stream)
     if (stream !== undefined) receive(frame, stream)
   }
+  const receiveAcknowledgement = (received: number, final: boolean) => {
+    const isValid = acknowledge(delivery, received)
+    if (!final || !isValid) return
+    hasOtherEnded = true
+    events.ended()
+  }
   const acceptStream = (id: number, opening: unknown, ended: boolean) => {
     const state = createState(noopListener, false, ended)
     streams.set(id, state)
@@ -213,10 +234,11 @@
       if (frames === undefined) return detach(socket)
       const abandoned = abandonedStreams(frames)
       for (const frame of frames) {
+        if (isClosed) return // The count that ended the session stays true.
         if (frame.kind === frameKind.open && abandoned?.has(frame.stream) === true) delivery.received++
         else handle(frame)
       }
-      if (delivery.reported === delivery.received) return
+      if (isClosed || delivery.reported === delivery.received) return
       unacknowledgedBytes += chunk.length
       if (unacknowledgedBytes >= acknowledgeBytes) acknowledgeNow()
       else acknowledgeTimer ??= setTimeout(acknowledgeNow, acknowledgeAfterMs)
@@ -271,14 +293,16 @@
       for (const { listener } of [...streams.values()]) listener.dialerDisconnected()
     },
     close () {
-      clearTimeout(acknowledgeTimer)
+      if (isClosed) return
+      isClosed = true
+      const unreceived = hasOtherEnded ? unreceivedStreams(delivery) : new Set<number>()
+      const lost = [...streams.keys()].map((id) => ({ id, sent: !withdrawUnsent(delivery, id) && !unreceived.has(id) }))
+      flush()
       const socket = connection
       connection = undefined
-      socket?.destroySoon()
-      for (const id of [...streams.keys()]) {
-        const sent = !withdrawUnsent(delivery, id)
-        removeStream(id)?.listener.sessionEnded(sent)
-      }
+      const count = encodeAcknowledgement()
+      if (socket !== undefined) endConnection(socket, count)
+      for (const { id, sent } of lost) removeStream(id)?.listener.sessionEnded(sent)
     }
   }
 }
--- a/src/core/channel/types.ts
+++ b/src/core/channel/types.ts
@@ -1,6 +1,9 @@
 /** Kinds of frames, with their numbers on the wire. */
 export const frameKind = {
-  /** Number of frames of the session received so far: [kind, count]. Not counted itself. */
+  /**
+   * Number of frames of the session received so far: [kind, count, whether the sender ends the session and receives no more]. Not counted itself. Earlier
+   * versions neither send nor read the third field.
+   */
   acknowledge: 0,
   /** Asks for an acknowledgement: [kind]. Not counted itself. */
   probe: 1,
@@ -20,7 +23,7 @@
 
 /** A frame of a session. */
 export type Frame =
-  | { kind: typeof frameKind.acknowledge, received: number }
+  | { kind: typeof frameKind.acknowledge, received: number, final: boolean }
   | { kind: typeof frameKind.probe }
   | { kind: typeof frameKind.open, stream: number, opening: unknown, ended: boolean }
   | { kind: typeof frameKind.message, stream: number, value: unknown }
@@ -40,7 +43,7 @@
   reset: () => void
   /** The dialer lost its connection and did not reconnect within `disconnectGraceMs`. It may still reconnect. */
   dialerDisconnected: () => void
-  /** The session has ended. If `sent` is false, no byte of the stream was sent. */
+  /** The session has ended. If `sent` is false, no byte of the stream was sent, or the other side has ended the session without receiving its opening. */
   sessionEnded: (sent: boolean) => void
 }
 
--- a/src/core/node/forward.ts
+++ b/src/core/node/forward.ts
@@ -22,7 +22,7 @@
 
 /** Why a forwarded call ended without a complete answer. */
 type ForwardFailure =
-  /** Nothing was sent to the other node. */
+  /** Nothing was sent to the other node, or it has ended without reading it. */
   | { type: 'not-sent' }
   | { type: 'timeout' }
   | { type: 'cancelled' }
--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -11,6 +11,7 @@
 import type { Environment } from '../peers/index.ts'
 import { createRateClient } from '../rate/client.ts'
 import { createMeter } from '../rate/index.ts'
+import { readArrived } from '../turns/index.ts'
 import { createCallSender } from './attempts.ts'
 import type { Announcement } from './announcement.ts'
 import { createBacklog, hasLeft } from './backlog.ts'
@@ -242,12 +243,13 @@
       await closeServer(callerServer)
       peers.announceLeave()
       await closeServer(localServer)
+      await readArrived() // Calls of other nodes that lie unread are refused.
+      peerSessions.close()
       clearInterval(reportTimer)
       rates.close()
       callSender.close()
       claimHolder.close()
       forwarder.close()
-      peerSessions.close()
       crashes.close()
       await target.close()
       await peers.close()
--- a/test/channel/channel.test.ts
+++ b/test/channel/channel.test.ts
@@ -268,3 +268,77 @@
   for (const socket of opened) socket.destroy()
   assert.equal(state, 'closed')
 })
+
+test('a stream that its server has not read when it ends as planned is reported as not sent', { timeout: 10_000 }, async () => {
+  const accepted: unknown[] = []
+  const accept: StreamAcceptor = (opening) => {
+    accepted.push(opening)
+    return noopListener
+  }
+  const sessions = createSessionServer({ sealer: createSealer([secret]), clock, accept, onSent () {} })
+  const upgraded: Socket[] = []
+  const server = createHttpServer().on('upgrade', sessions.upgrade).on('upgrade', (_request, socket: Socket) => void upgraded.push(socket))
+  const address = `127.0.0.1:${await listenOn(server)}`
+  const client = dialer()
+  const send = (opening: string) => collect((listener) => client.open(address, opening, true, listener))
+  const read = send('read')
+  await waitUntil(() => accepted.length === 1)
+  upgraded[0].pause()
+  const unread = Array.from({ length: 3 }, (_, number) => send(`unread ${number}`))
+  await pause(50)
+  sessions.close()
+  const ends = await Promise.all([read, ...unread].map(async (outcome) => (await outcome).end))
+  client.close()
+  server.closeAllConnections()
+  await new Promise((resolve) => server.close(resolve))
+  assert.deepEqual(accepted, ['read'])
+  assert.deepEqual(ends, ['lost, sent', 'lost, not sent', 'lost, not sent', 'lost, not sent'])
+})
+
+test('an answer that is sent right before its server ends as planned arrives', async () => {
+  const sessions = createSessionServer({
+    sealer: createSealer([secret]),
+    clock,
+    onSent () {},
+    accept (opening, stream) {
+      setTimeout(() => {
+        stream.message(opening)
+        stream.end()
+        sessions.close()
+      }, 20)
+      return noopListener
+    }
+  })
+  const server = createHttpServer().on('upgrade', sessions.upgrade)
+  const address = `127.0.0.1:${await listenOn(server)}`
+  const client = dialer()
+  const outcome = await collect((listener) => client.open(address, 'call', true, listener))
+  client.close()
+  await new Promise((resolve) => server.close(resolve))
+  assert.deepEqual(outcome, { messages: ['call'], text: '', end: 'end' })
+})
+
+test('a dialer that does not read does not keep the connection of a session open that has ended', async () => {
+  const upgraded: Socket[] = []
+  const sessions = createSessionServer({ sealer: createSealer([secret]), clock, accept: () => noopListener, onSent () {} })
+  const server = createHttpServer().on('upgrade', sessions.upgrade).on('upgrade', (_request, socket: Socket) => void upgraded.push(socket))
+  const port = await listenOn(server)
+  const relayed: Socket[] = []
+  const relay = createServer({ allowHalfOpen: true }, (near) => {
+    const far = connect({ port, host: '127.0.0.1', allowHalfOpen: true })
+    relayed.push(near, far)
+    for (const socket of relayed) socket.on('error', () => {})
+    near.pipe(far, { end: false })
+    far.pipe(near, { end: false })
+  })
+  const client = dialer()
+  client.open(`127.0.0.1:${await listenOn(relay)}`, 'call', true, noopListener)
+  await waitUntil(() => upgraded.length === 1)
+  sessions.close()
+  const closed = new Promise((resolve) => server.close(() => resolve('closed')))
+  const state = await Promise.race([closed, pause(1000).then(() => 'still open')])
+  client.close()
+  for (const socket of relayed) socket.destroy()
+  relay.close()
+  assert.equal(state, 'closed')
+})
