--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -240,9 +240,9 @@
       if (target.gate.removeWaiting() > 0) await pause(stopPollMs)
       giveUpRunning(running, startedAt, environment)
       await waitForHandover()
-      await closeServer(callerServer)
+      const closed = Promise.all([closeServer(callerServer), closeServer(localServer)])
       peers.announceLeave()
-      await closeServer(localServer)
+      await closed
       await readArrived() // Calls of other nodes that lie unread are refused.
       peerSessions.close()
       clearInterval(reportTimer)
