A stop waits until the answers to other nodes have left its process

Cause: a forwarded call counted as ended once its last bytes were queued in its session. Change: a stop is not idle while a connected dialer has open streams, or bytes that were not passed to the system; its end bounds this as before. Evidence: test/channel/channel.test.ts, a server whose answer waits for credit is not idle until it is taken (there was no such statement before). Not played between two nodes.

--- a/src/core/channel/acceptor.ts
+++ b/src/core/channel/acceptor.ts
@@ -20,6 +20,8 @@
 export interface SessionServer {
   /** Handles the `upgrade` event of the peer listener. */
   upgrade: (request: IncomingMessage, socket: Socket, head: Buffer) => void
+  /** Returns true while a connected dialer has not been sent all that its streams are to receive. */
+  isSending: () => boolean
   /** Ends all sessions. A connection that is opened afterwards is closed, because it would keep the peer listener from closing. */
   close: () => void
 }
@@ -73,6 +75,7 @@
       socket.destroy()
       remove(id)
     },
+    isSending: () => [...sessions.values()].some(({ session }) => session.isSending()),
     close () {
       closed = true
       for (const id of [...sessions.keys()]) remove(id)
--- a/src/core/channel/session.ts
+++ b/src/core/channel/session.ts
@@ -69,6 +69,8 @@
   open: (opening: unknown, openingOnly: boolean, listener: StreamListener) => Stream
   /** Returns the number of open streams. */
   size: () => number
+  /** Returns true while the current connection has open streams or bytes that were not passed to the system yet. */
+  isSending: () => boolean
   /** Returns the time since data was last received, in milliseconds. */
   silenceMs: () => number
   /** Returns the age of the oldest unacknowledged frame, in milliseconds. */
@@ -279,6 +281,7 @@
       return createHandle(id, state)
     },
     size: () => streams.size,
+    isSending: () => connection !== undefined && (streams.size > 0 || connection.writableLength > 0),
     silenceMs: () => clock.now() - lastReceivedAt,
     stallMs: () => oldestUnacknowledgedAge(delivery, clock.now()),
     probe () {
--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -209,7 +209,8 @@
   peers.onConfigurationChange(reportRevision)
 
   const waitUntilIdle = async (until: number) => {
-    while ((running.count() > 0 || backlog.isCatchingUp()) && clock.now() < until) await pause(stopPollMs)
+    const isBusy = () => running.count() > 0 || backlog.isCatchingUp() || peerSessions.isSending()
+    while (isBusy() && clock.now() < until) await pause(stopPollMs)
   }
   /** Waits until this process is no longer a member of any claim slot. */
   const waitForHandover = async () => {
--- a/test/channel/channel.test.ts
+++ b/test/channel/channel.test.ts
@@ -342,3 +342,44 @@
   relay.close()
   assert.equal(state, 'closed')
 })
+
+test('a server whose answer is taken slowly is not idle before its dialer has been sent all of it', { timeout: 10_000 }, async () => {
+  const answer = Buffer.alloc(1024 * 1024, 'x')
+  const sessions = createSessionServer({
+    sealer: createSealer([secret]),
+    clock,
+    onSent () {},
+    accept (_opening, stream) {
+      stream.bytes(answer)
+      stream.end()
+      return noopListener
+    }
+  })
+  const server = createHttpServer().on('upgrade', sessions.upgrade)
+  const address = `127.0.0.1:${await listenOn(server)}`
+  const client = dialer()
+  const waiting: Array<() => void> = []
+  let received = 0
+  let takesPieces = false
+  const ended = new Promise<void>((resolve) => client.open(address, 'large', true, {
+    ...noopListener,
+    bytes (piece, consumed) {
+      received += piece.length
+      if (takesPieces) setImmediate(consumed)
+      else waiting.push(consumed)
+    },
+    end: resolve
+  }))
+  await waitUntil(() => received > 0)
+  await pause(100)
+  const isSendingBefore = sessions.isSending()
+  takesPieces = true
+  for (const consumed of waiting) consumed()
+  await ended
+  await waitUntil(() => !sessions.isSending())
+  client.close()
+  sessions.close()
+  server.closeAllConnections()
+  await new Promise((resolve) => server.close(resolve))
+  assert.deepEqual([isSendingBefore, received], [true, answer.length])
+})
