The record of a process that leaves states whole milliseconds

What callers would see: nodes that stop are not known to leave where the time of a stop is no whole number, as on the large site (11/12 of 10 s): other nodes refuse such a record, so that calls go on to them until their target is gone. Cause: the duration went into the record as it was reckoned, and records are checked for whole numbers. Evidence: test/membership/codec.test.ts, before: the record of 9,166.67 ms is refused. Change: it is rounded, and bounded, where the record is made.

--- a/src/core/membership/core.ts
+++ b/src/core/membership/core.ts
@@ -1,7 +1,7 @@
 import { pick, sample } from '../random/index.ts'
 import type { Random } from '../random/index.ts'
 import {
-  ackTimeoutMs, farCopies, farSyncs, indirectProbeCount, maxIncarnation, maxSeedSyncMs, maxUpdatesPerPacket, memberRetentionMs, minSeedSyncMs, minSyncIntervalMs,
+  ackTimeoutMs, farCopies, farSyncs, indirectProbeCount, maxIncarnation, maxSeedSyncMs, maxStopMs, maxUpdatesPerPacket, memberRetentionMs, minSeedSyncMs, minSyncIntervalMs,
   mismatchesToSync, probeIntervalMs, probeTimeoutMs, pushDelayMs, pushFanout, pushIntervalMs, retransmitFactor, suspicionTimeoutMs
 } from './constants.ts'
 import { statuses } from './types.ts'
@@ -37,7 +37,7 @@
     case 'packet': onPacket(state, event.packet, event.address, now, random, effects); break
     case 'merge': onMerge(state, event.members, event.domain, now, random, effects); break
     case 'target': changeSelf(state, { target: event.target }, now); break
-    case 'prepare-leave': changeSelf(state, { leaving: true, stopMs: event.stopMs }, now); break
+    case 'prepare-leave': changeSelf(state, { leaving: true, stopMs: Math.min(maxStopMs, Math.round(event.stopMs)) }, now); break
     case 'leave': onLeave(state, now, random, effects); break
     case 'unreachable': onUnreachable(state, event.id, now, random, effects); break
   }
--- a/test/membership/codec.test.ts
+++ b/test/membership/codec.test.ts
@@ -1,8 +1,9 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fc from 'fast-check'
-import { decodeMembers, decodePacket, decodeVersions, encodeMember, encodePacket } from '../../src/core/membership/index.ts'
+import { createMembership, decodeMembers, decodePacket, decodeVersions, encodeMember, encodePacket, step } from '../../src/core/membership/index.ts'
 import type { Member, Packet } from '../../src/core/membership/index.ts'
+import { createRandom } from '../../src/core/random/index.ts'
 
 const count = fc.nat({ max: 2 ** 40 })
 const capacity = fc.integer({ min: 1, max: 1_000_000 })
@@ -102,3 +103,12 @@
   assert.deepEqual(decodeVersions([['a', 1, 0, 0], null, ['c', 1e308, 0, 0], ['c', 1, 2 ** 53, 0], ['c', 1, 0, 9], ['c']], (reason) => void reasons.push(reason)), [['a', 1, 0, 0]])
   assert.match(String(reasons), /^5 versions/)
 })
+
+test('the record of a process that leaves is read whatever part of its time a stop takes', () => {
+  for (const stopMs of [5500, 10_000 * 11 / 12, 1e12, Infinity]) {
+    const state = createMembership(decodeMembers([good[0]], neverRefuse)[0], [], 0)
+    step(state, { type: 'prepare-leave', stopMs }, 0, createRandom(1))
+    const [read] = decodeMembers([encodeMember(state.self)], neverRefuse)
+    assert.deepEqual([read.leaving, read.stopMs], [true, Math.min(86_400_000, Math.round(stopMs))])
+  }
+})
