--- a/scripts/days/day.ts
+++ b/scripts/days/day.ts
@@ -1,7 +1,7 @@
 import { createRandom, pick } from '../../src/core/random/index.ts'
 import type { Random } from '../../src/core/random/index.ts'
 
-/** One disruption or piece of planned work, as `fleetbench kinds` describes it. */
+/** One disruption or piece of planned work in a day of the users' bench. */
 export interface Entry {
   /** Seconds from the start of the traffic. */
   at: number
