A request whose body does not arrive is answered at the timeout of its route

What callers saw: an upload that stalls had no answer until its client gave up or the server's own limit of 30 s, whatever the route's timeout. The reading of a body now ends at the deadline with a refusal that states "not run", which is true, as nothing was sent on. The same for the outgoing calls of a target. The time of arrival is part of the arrival, so that all filters can see it.

--- a/src/core/node/body.ts
+++ b/src/core/node/body.ts
@@ -26,6 +26,8 @@
   budget: BodyBudget
   /** Time for which a body waits for room, in milliseconds. */
   waitMs: number
+  /** Returns the time within which the body has to be complete from now on, in milliseconds. */
+  timeLeftMs: () => number
 }
 
 function startDigest ({ method, url }: IncomingMessage): Hash {
@@ -86,13 +88,17 @@
     const breakOff = () => resolve(fail('badRequest', { reason: 'the request body broke off' }))
     if (request.destroyed) return breakOff()
     let isRefused = false
-    request.on('data', (chunk: Buffer) => {
-      const failure = isRefused ? undefined : add(chunk)
-      if (failure === undefined) return
+    const refuse = (failure: Failure) => {
       isRefused = true
       resolve(failure)
+    }
+    const timer = setTimeout(() => refuse(fail('deadline', { stage: 'before the body of the request had arrived' })), room.timeLeftMs())
+    request.on('data', (chunk: Buffer) => {
+      const failure = isRefused ? undefined : add(chunk)
+      if (failure !== undefined) refuse(failure)
     })
     request.on('end', () => resolve(succeed(null)))
+    request.on('close', () => clearTimeout(timer))
     request.on('close', breakOff)
     request.on('error', breakOff)
   })
--- a/src/core/node/decisions.ts
+++ b/src/core/node/decisions.ts
@@ -58,7 +58,7 @@
 
 /** Logs the decisions of a node about requests, with the inputs that led to them. */
 export interface Decisions {
-  refuseArrival: (arrival: Pick<Arrival, 'request' | 'callerRequest' | 'method' | 'route' | 'identity'>, failure: Failure, startedAt: number) => void
+  refuseArrival: (arrival: Pick<Arrival, 'request' | 'arrivedAt' | 'callerRequest' | 'method' | 'route' | 'identity'>, failure: Failure) => void
   turnAway: (call: Call, failure: Failure, turnAway: TurnAway) => void
   refuseCall: (call: Call, failure: Failure, elsewhere: boolean) => void
   shed: (call: Call, failure: Failure, shedReason: string, arrivedAt: number) => void
@@ -159,7 +159,7 @@
     requestLog.write('requestAnswered', () => ({ ...describe(call), status: statusOf(outcome), extraAttempts, ...timesOf(call, startedAt) }))
   }
   return {
-    refuseArrival ({ request, callerRequest, method, route, identity }, failure, startedAt) {
+    refuseArrival ({ request, arrivedAt, callerRequest, method, route, identity }, failure) {
       const workspace = identity?.workspace ?? null
       requestLog.write('requestRefused', () => ({
         ...idOf(request, null),
@@ -172,7 +172,7 @@
         limit: workspace === null ? null : directory.limitOf(workspace) ?? null,
         rateState: workspace !== null && failure.code === 'overRate' ? rates.state(workspace) : null,
         revision: revision(),
-        elapsedMs: round(clock.now() - startedAt),
+        elapsedMs: round(clock.now() - arrivedAt),
         ...stopTimes()
       }))
     },
--- a/src/core/node/entry.ts
+++ b/src/core/node/entry.ts
@@ -16,11 +16,12 @@
 
 const defaultParameters: EffectiveParameters = { rate: 0, burst: 0, weight: 1, retryBudget: 2 }
 
-function createArrival (request: IncomingMessage, callerRequest: CallerRequest): Arrival {
+function createArrival (request: IncomingMessage, callerRequest: CallerRequest, arrivedAt: number): Arrival {
   const path = request.url ?? '/'
   const queryStart = path.indexOf('?')
   return {
     request,
+    arrivedAt,
     callerRequest,
     method: request.method ?? 'GET',
     path,
@@ -34,8 +35,8 @@
   }
 }
 
-function createCall (arrival: Arrival, { bytes, digest }: ReadBody, route: EffectiveRoute, inProgress: boolean, dialect: Dialect, now: number): Call {
-  const { identity, parameters, method, path, idempotencyKey, request, callerRequest } = arrival
+function createCall (arrival: Arrival, { bytes, digest }: ReadBody, route: EffectiveRoute, inProgress: boolean, dialect: Dialect): Call {
+  const { identity, parameters, method, path, idempotencyKey, request, callerRequest, arrivedAt } = arrival
   const workspace = route.open ? null : identity?.workspace ?? null
   const chain = randomId()
   const timeoutMs = requestTimeoutMs(route, callerRequest)
@@ -67,7 +68,7 @@
     path,
     headers: dialect.requestHeaders(request.rawHeaders, workspace),
     body: bytes,
-    deadlineAt: now + timeoutMs,
+    deadlineAt: arrivedAt + timeoutMs,
     cancellation: createCancellation()
   }
 }
@@ -82,30 +83,31 @@
   const { dialect, decisions } = context
   const parsed = dialect.read(request)
   if (!parsed.ok) {
-    decisions.refuseArrival(createArrival(request, { host: '', key: undefined, timeLeftMs: undefined, fromTargetAddress: false }), parsed, arrivedAt)
+    decisions.refuseArrival(createArrival(request, { host: '', key: undefined, timeLeftMs: undefined, fromTargetAddress: false }, arrivedAt), parsed)
     return dialect.writeRefusal(response, { failure: parsed, run: 'not-run', retryAfterMs: 0 })
   }
-  const arrival = createArrival(request, parsed.value)
+  const arrival = createArrival(request, parsed.value, arrivedAt)
   try {
-    await serveArrival(arrival, response, arrivedAt, context)
+    await serveArrival(arrival, response, context)
   } finally {
     arrival.body?.release()
   }
 }
 
-async function serveArrival (arrival: Arrival, response: ServerResponse, arrivedAt: number, context: EntryContext): Promise<void> {
+async function serveArrival (arrival: Arrival, response: ServerResponse, context: EntryContext): Promise<void> {
+  const { arrivedAt } = arrival
   const { dialect, decisions, environment: { clock, metrics } } = context
   for (const filter of filters[dialect.configuredBy]) {
     const pending = filter(arrival, context)
     const checked = pending instanceof Promise ? await pending : pending
     if (checked.ok) continue
     metrics.count(`refused_total{code="${checked.name}"}`)
-    decisions.refuseArrival(arrival, checked, arrivedAt)
+    decisions.refuseArrival(arrival, checked)
     return context.refusals.refuseArrival(response, checked, arrival)
   }
   invariant(arrival.route !== undefined && arrival.body !== undefined, 'the filters passed a request without a route or a body')
   const inProgress = isCallInProgress(arrival, context)
-  const call = createCall(arrival, arrival.body, arrival.route, inProgress, dialect, arrivedAt)
+  const call = createCall(arrival, arrival.body, arrival.route, inProgress, dialect)
   call.isExpectedRetry = !inProgress && context.refusals.matchExpectedRetry(call.context.fingerprint)
   if (inProgress) context.dependencies.recordCall(calleeKey(call.context))
   if (response.destroyed) call.cancellation.cancel()
--- a/src/core/node/filters.ts
+++ b/src/core/node/filters.ts
@@ -24,6 +24,8 @@
 /** A caller's request while the filters process it. */
 export interface Arrival {
   request: IncomingMessage
+  /** Monotonic time at which its head was read, in ms. */
+  arrivedAt: number
   callerRequest: CallerRequest
   method: string
   path: string
@@ -144,10 +146,12 @@
   return accepted
 }
 
-async function receiveBody (arrival: Arrival, { directory, dialect, bodyBudget: budget }: EntryContext): Promise<Outcome<null>> {
+async function receiveBody (arrival: Arrival, { directory, dialect, bodyBudget: budget, environment: { clock } }: EntryContext): Promise<Outcome<null>> {
+  const { request, route, callerRequest, arrivedAt } = arrival
   const deployed = dialect.configuredBy === 'deployment' ? directory.deployment()?.deployment.limits.bodyBytes : undefined
-  const waitMs = arrival.route === undefined ? 0 : waitFraction * requestTimeoutMs(arrival.route, arrival.callerRequest)
-  const reading = readBody(arrival.request, { maxBytes: deployed ?? maxBodyBytes, budget, waitMs })
+  const timeoutMs = route === undefined ? 0 : requestTimeoutMs(route, callerRequest)
+  const timeLeftMs = () => arrivedAt + timeoutMs - clock.now()
+  const reading = readBody(request, { maxBytes: deployed ?? maxBodyBytes, budget, waitMs: waitFraction * timeoutMs, timeLeftMs })
   const body = reading instanceof Promise ? await reading : reading
   if (!body.ok) return body
   arrival.body = body.value
--- a/src/core/node/outgoing.ts
+++ b/src/core/node/outgoing.ts
@@ -105,7 +105,8 @@
     writeFailure(response, failure, 'not-run')
   }
   if (span === undefined) return refuse(fail('badRequest', { reason: `${contextHeader} names no request that runs here` }))
-  const body = await readBody(request, { maxBytes: maxBodyBytes, budget: context.bodyBudget, waitMs: waitFraction * (span.deadlineAt - startedAt) })
+  const timeLeftMs = () => span.deadlineAt - clock.now()
+  const body = await readBody(request, { maxBytes: maxBodyBytes, budget: context.bodyBudget, waitMs: waitFraction * timeLeftMs(), timeLeftMs })
   if (!body.ok) return refuse(body)
   response.once('close', body.value.release)
   const outgoingCall = createOutgoingCall(request, span, body.value, context)
--- a/test/node/body-budget.test.ts
+++ b/test/node/body-budget.test.ts
@@ -66,7 +66,7 @@
   const sockets: Socket[] = []
   const read: ReadBody[] = []
   const server = createServer(async (incoming, response) => {
-    const body = await readBody(incoming, { maxBytes, budget, waitMs: room })
+    const body = await readBody(incoming, { maxBytes, budget, waitMs: room, timeLeftMs: () => 60_000 })
     if (body.ok) read.push(body.value)
     response.writeHead(body.ok ? 200 : body.status).end()
   })
--- a/test/node/decisions.test.ts
+++ b/test/node/decisions.test.ts
@@ -57,7 +57,7 @@
   return { headers, method: 'GET' } as unknown as IncomingMessage
 }
 
-const arrival = { callerRequest: { host: 'h', key: undefined, timeLeftMs: undefined, fromTargetAddress: false }, method: 'GET', route: undefined, identity: undefined }
+const arrival = { arrivedAt: 0, callerRequest: { host: 'h', key: undefined, timeLeftMs: undefined, fromTargetAddress: false }, method: 'GET', route: undefined, identity: undefined }
 const good: AttemptOutcome = { type: 'answered', status: 200, report: emptyReport }
 const end = { extraAttempts: 0, startedAt: 0 }
 
@@ -96,9 +96,9 @@
 test('no key reaches the log, and texts of callers are shortened', () => {
   const { decisions, lines } = createLogged()
   const { clear } = issueKey()
-  decisions.refuseArrival({ ...arrival, request: requestWith({ 'x-request-id': clear }) }, fail('unknownRoute', { method: 'GET', path: `/x/${clear}` }), 0)
+  decisions.refuseArrival({ ...arrival, request: requestWith({ 'x-request-id': clear }) }, fail('unknownRoute', { method: 'GET', path: `/x/${clear}` }))
   const callerRequest = { ...arrival.callerRequest, key: 'any text', host: 'h-any text' }
-  decisions.refuseArrival({ ...arrival, callerRequest, request: requestWith({ 'x-request-id': 'x'.repeat(5000) }) }, fail('unknownRoute', { method: 'GET', path: '/any text' }), 0)
+  decisions.refuseArrival({ ...arrival, callerRequest, request: requestWith({ 'x-request-id': 'x'.repeat(5000) }) }, fail('unknownRoute', { method: 'GET', path: '/any text' }))
   const text = JSON.stringify(lines)
   assert.equal(lines.length, 2)
   assert.ok(!text.includes(clear) && !text.includes('any text'))
@@ -108,8 +108,8 @@
 test('refusal over the rate states limit and share, other refusals do not', () => {
   const { decisions, lines } = createLogged()
   const known = { ...arrival, identity: { workspace: 'w', keyId: 'k' }, request: requestWith({ 'x-request-id': 'r-1' }) }
-  decisions.refuseArrival(known, fail('overRate', { workspace: 'w' }), 0)
-  decisions.refuseArrival(known, fail('badRequest', { reason: 'x' }), 0)
+  decisions.refuseArrival(known, fail('overRate', { workspace: 'w' }))
+  decisions.refuseArrival(known, fail('badRequest', { reason: 'x' }))
   assert.deepEqual(lines.map(({ limit, rateState, revision }) => ({ limit, rateState, revision })), [
     { limit: { rate: 5, burst: 10 }, rateState: { share: 2, left: 0, waiting: 3, unansweredMs: 0 }, revision: 7 },
     { limit: { rate: 5, burst: 10 }, rateState: null, revision: 7 }
--- a/test/node/raw-path.ts
+++ b/test/node/raw-path.ts
@@ -152,7 +152,7 @@
     }
   }
   const serve = async (request: IncomingMessage, response: ServerResponse) => {
-    const body = await readBody(request, { maxBytes: 1024, budget: createBodyBudget(1024), waitMs: 0 })
+    const body = await readBody(request, { maxBytes: 1024, budget: createBodyBudget(1024), waitMs: 0, timeLeftMs: () => 60_000 })
     if (!body.ok) return dialect.writeRefusal(response, { failure: body, run: 'not-run', retryAfterMs: 0 })
     const call = createCall(request, body.value.bytes)
     const sink = createResponseSink(response)
