--- a/scripts/days/day.ts
+++ b/scripts/days/day.ts
@@ -1,5 +1,6 @@
-import { createRandom, pick } from '../../src/core/random/index.ts'
+import { pick } from '../../src/core/random/index.ts'
 import type { Random } from '../../src/core/random/index.ts'
+import { between, chance, createSpreadRandom } from './draw.ts'
 
 /** One disruption or piece of planned work in a day of the users' bench. */
 export interface Entry {
@@ -14,8 +15,8 @@
   forS?: number
 }
 
-/** What a day holds: stops and changed timeouts only, any planned work, or planned work beside an unplanned fault. */
-export type Family = 'stagger' | 'planned' | 'mixed'
+/** What a day holds: stops and changed timeouts only, any planned work, planned work beside an unplanned fault, or changes of the configuration beside faults. */
+export type Family = 'stagger' | 'planned' | 'mixed' | 'changes'
 
 /** A day for the bench of the users. */
 export interface Day {
@@ -24,6 +25,8 @@
   faults: Entry[]
   plan: Entry[]
   lengthS: number
+  /** What strikes at the end. */
+  closing?: { kind: string, how?: string, downS: number }
 }
 
 /** Length of every day in seconds. */
@@ -46,21 +49,6 @@
 ] as const
 const scaleInHows = [undefined, 'spot', 'spot', 'reclaim'] as const
 
-function between (random: Random, low: number, high: number): number {
-  return Math.round((low + random.next() * (high - low)) * 100) / 100
-}
-
-function chance (random: Random, probability: number): boolean {
-  return random.next() < probability
-}
-
-/** Spreads small seeds over 32 bits: the first numbers of neighbouring seeds are alike otherwise. */
-function createSpreadRandom (seed: number): Random {
-  const random = createRandom(Math.imul(seed + 1, 0x9e3779b1))
-  for (let discarded = 0; discarded < 32; discarded++) random.next()
-  return random
-}
-
 /** Draws a day; the same seed gives the same day. */
 export function drawDay (seed: number): Day {
   const random = createSpreadRandom(seed)
--- a/scripts/days/toml.ts
+++ b/scripts/days/toml.ts
@@ -5,13 +5,22 @@
   return [
     `name = ${JSON.stringify(day.name)}`,
     'slot = "trouble"',
+    ...(day.family === 'changes' ? ['small = { shrink = 6.6 }'] : []),
     formatEntries('faults', day.faults),
     formatEntries('plan', day.plan),
     `length_s = ${formatFloat(day.lengthS)}`,
+    ...formatClosing(day.closing),
     ''
   ].join('\n')
 }
 
+function formatClosing (closing: Day['closing']): string[] {
+  if (closing === undefined) return []
+  const { kind, how, downS } = closing
+  const fields = [`kind = ${JSON.stringify(kind)}`, ...(how === undefined ? [] : [`how = ${JSON.stringify(how)}`]), `down_s = ${formatFloat(downS)}`]
+  return [`closing = { ${fields.join(', ')} }`]
+}
+
 function formatEntries (name: string, entries: readonly Entry[]): string {
   if (entries.length === 0) return `${name} = []`
   return [`${name} = [`, ...entries.map((entry) => `  ${formatEntry(entry)},`), ']'].join('\n')
--- a/test/days/days.test.ts
+++ b/test/days/days.test.ts
@@ -4,6 +4,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { test } from 'node:test'
+import { drawChangeDay } from '../../scripts/days/changes.ts'
 import { drawDay, faultKinds, lengthS, planKinds, rounds } from '../../scripts/days/day.ts'
 import type { Day, Entry } from '../../scripts/days/day.ts'
 import { formatDay } from '../../scripts/days/toml.ts'
@@ -103,3 +104,19 @@
     rmSync(folder, { recursive: true })
   }
 })
+
+test('a day of changes is the same for a seed, and most have a process that falls silent just before a change', () => {
+  const changeDays = seeds.map((seed) => drawChangeDay(seed))
+  assert.deepEqual(seeds.map((seed) => drawChangeDay(seed)), changeDays)
+  for (const { plan, lengthS: length } of changeDays) {
+    assert.ok(plan.filter(({ kind }) => kind === 'config_change').length >= 7)
+    for (const { at } of plan) assert.ok(at >= 2 && at < length - 5)
+  }
+  const silent = changeDays.filter(({ faults, plan }) => plan.some((change) => faults.some(({ at }) => change.at - at >= 0 && change.at - at <= 0.3)))
+  assert.ok(silent.length > 0.9 * changeDays.length, `${silent.length}`)
+})
+
+test('the end of a day is written with its fault', () => {
+  const day = { ...days[0], closing: { kind: 'wipe_after_ack', how: 'timed', downS: 2 } }
+  assert.match(formatDay(day), /^closing = \{ kind = "wipe_after_ack", how = "timed", down_s = 2\.0 \}$/m)
+})
