A large control group keeps five voters while instances are only out of sight

What operators could lose: a group of 12 instances bears two lost disks with its five voters. When its leader lost sight of so many instances that fewer than six were left, for 2.5 s, it removed the missing voters down to three; a change acknowledged then rests on two disks, and the loss of both loses it. Cause: the wanted number of voters followed the instances that are alive at the moment. A member that has been missing for less than a minute, after which learners are removed too, now counts as well. test/control/composition.test.ts failed before (the group of five voters became four at 2.5 s) and passes. It works because a cut or a freeze of seconds no longer changes how many disks hold a change; a real reduction still takes place after a minute.

--- a/src/core/control/composition.ts
+++ b/src/core/control/composition.ts
@@ -4,7 +4,7 @@
 const smallGroupVoters = 3
 const largeGroupVoters = 5
 
-/** Number of live instances from which a group has `largeGroupVoters` voters. */
+/** Number of instances from which a group has `largeGroupVoters` voters. */
 const largeGroupInstances = 6
 
 /** Largest number of members in a group. */
@@ -13,7 +13,10 @@
 /** Time for which a voter must be missing before a standby replaces it, in milliseconds. */
 export const replaceVoterAfterMs = 2500
 
-/** Time for which a learner (a member without a vote) must be missing before it is removed, in milliseconds. */
+/**
+ * Time for which a learner (a member without a vote) must be missing before it is removed, in milliseconds. Until then a missing member also counts as an
+ * instance of the group: fewer voters bear the loss of fewer disks.
+ */
 export const removeLearnerAfterMs = 60_000
 
 /** A control instance that gossip reports as alive. */
@@ -66,7 +69,9 @@
   if (newInstance !== undefined && members.length < maxMembers) return [...members, { id: newInstance.id, address: newInstance.address, voter: false, standby: true }]
   const voters = members.filter(({ voter }) => voter)
   const missingVoters = voters.filter(({ id }) => id !== self && missingFor(id) >= replaceVoterAfterMs)
-  const wantedVoters = liveInstances.length >= largeGroupInstances ? largeGroupVoters : smallGroupVoters
+  const liveIds = new Set(liveInstances.map(({ id }) => id))
+  const missingLately = members.filter(({ id }) => !liveIds.has(id) && missingFor(id) < removeLearnerAfterMs)
+  const wantedVoters = liveInstances.length + missingLately.length >= largeGroupInstances ? largeGroupVoters : smallGroupVoters
   const standby = members.find(({ id, standby }) => standby === true && missingFor(id) === 0 && isCaughtUp(id))
   if (standby !== undefined && voters.length - missingVoters.length < wantedVoters) {
     return members.map((member) => member.id === standby.id ? { id: member.id, address: member.address, voter: true } : member)
--- a/test/control/composition.test.ts
+++ b/test/control/composition.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import type { Member } from '../../src/core/consensus/index.ts'
-import { planMembershipChange, replaceVoterAfterMs, trackMissing } from '../../src/core/control/composition.ts'
+import { planMembershipChange, removeLearnerAfterMs, replaceVoterAfterMs, trackMissing } from '../../src/core/control/composition.ts'
 import type { GroupView, LiveInstance } from '../../src/core/control/composition.ts'
 
 function voter (id: string): Member {
@@ -68,3 +68,11 @@
   trackMissing(missingSince, members, liveInstances('a', 'b'), 30)
   assert.deepEqual([...missingSince], [])
 })
+
+test('a large group that loses sight of instances for a while keeps the voters that bear two lost disks', () => {
+  const members = [...['a', 'b', 'c', 'd', 'e'].map(voter), standby('f'), standby('g')]
+  const missingSince = new Map(['d', 'e', 'f', 'g'].map((id) => [id, 0]))
+  const alive = liveInstances('a', 'b', 'c')
+  assert.equal(planMembershipChange(view(members, alive, { missingSince }), replaceVoterAfterMs), undefined)
+  assert.deepEqual(ids(planMembershipChange(view(members, alive, { missingSince }), removeLearnerAfterMs)), ['a', 'b', 'c', 'e', 'f?', 'g?'])
+})
