The time of a request counts from when it was read, also while it waits behind others of its connection

The pipeline of a connection passes the time at which it read a request, and the filters refuse one whose time has passed while it waited, before it counts against the rate.

--- a/src/core/node/filters.ts
+++ b/src/core/node/filters.ts
@@ -190,8 +190,14 @@
   return accepted
 }
 
+/** Refuses a request whose time has passed while it waited for its turn, its body or its rate. */
+function checkDeadline ({ route, callerRequest, arrivedAt }: Arrival, { environment: { clock } }: EntryContext): Outcome<null> {
+  if (route === undefined || clock.now() < arrivedAt + requestTimeoutMs(route, callerRequest)) return accepted
+  return fail('deadline', { stage: 'before the request began' })
+}
+
 /** Filters of a caller's request, in order, by the source of the configuration. The call sender then chooses targets and attempts the call. */
 export const filters: Record<Dialect['configuredBy'], readonly Filter[]> = {
-  templates: [checkPath, checkUrlForKeys, authenticate, findRoute, checkKey, checkIdempotencyKey, receiveBody, checkBodyForKeys, checkStop, checkRate],
-  deployment: [checkPath, findDeployedRoute, authenticateDeployed, checkKey, receiveBody, checkStop, checkRate]
+  templates: [checkPath, checkUrlForKeys, authenticate, findRoute, checkKey, checkIdempotencyKey, receiveBody, checkBodyForKeys, checkStop, checkDeadline, checkRate],
+  deployment: [checkPath, findDeployedRoute, authenticateDeployed, checkKey, receiveBody, checkStop, checkDeadline, checkRate]
 }
--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -171,14 +171,13 @@
     void work.catch(logUnexpectedError).then(running.begin({ id, source: 'node', giveUp }))
   }
   const peerSessions = servePeerCalls(peers, server, trackPeerCall, bodyBudget, environment)
-  const serveEntry = (request: IncomingMessage, response: ServerResponse) => {
-    const arrivedAt = clock.now()
+  const serveEntry = (request: IncomingMessage, response: ServerResponse, arrivedAt: number) => {
     trackResponse(request, response, () => serveCaller(request, response, arrivedAt, entryContext))
   }
   const localHandler = createLocalHandler(peers, target, environment)
-  const serveLocal = (request: IncomingMessage, response: ServerResponse) => {
+  const serveLocal = (request: IncomingMessage, response: ServerResponse, arrivedAt: number) => {
     if (request.url?.startsWith(ownPathPrefix) === true || request.url === '/metrics') return localHandler(request, response)
-    if (request.headers[contextHeader] === undefined) return serveEntry(request, response)
+    if (request.headers[contextHeader] === undefined) return serveEntry(request, response, arrivedAt)
     trackResponse(request, response, () => serveOutgoing(request, response, outgoingContext))
   }
   const leaveUnserved = (request: IncomingMessage) => {
@@ -186,8 +185,8 @@
     decisions.leaveUnserved(request)
   }
   const limits = { maxHeaderSize: maxHeaderBytes, requestTimeout: 30_000, headersTimeout: 10_000 }
-  const callerServer = createPipelinedServer({ ...limits, keepAliveTimeout: keepAliveMs }, { serve: serveEntry, isStopping: () => stop !== undefined, leaveUnserved }, backlog)
-  const localServer = createPipelinedServer({ ...limits, keepAliveTimeout: 60_000 }, { serve: serveLocal, isStopping: () => stop !== undefined, leaveUnserved }, backlog)
+  const callerServer = createPipelinedServer({ ...limits, keepAliveTimeout: keepAliveMs }, { serve: serveEntry, now: clock.now, isStopping: () => stop !== undefined, leaveUnserved }, backlog)
+  const localServer = createPipelinedServer({ ...limits, keepAliveTimeout: 60_000 }, { serve: serveLocal, now: clock.now, isStopping: () => stop !== undefined, leaveUnserved }, backlog)
   const listenAddress = await listen(callerServer, options.listen)
   const localAddress = await listen(localServer, options.local)
   metrics.gauge('stopping', () => stop === undefined ? 0 : 1)
--- a/src/core/node/pipeline.ts
+++ b/src/core/node/pipeline.ts
@@ -25,7 +25,7 @@
 /** The requests of one connection, in the order in which they were sent. */
 interface Line {
   inProgress: Set<ServerResponse>
-  waiting: Array<{ request: IncomingMessage, response: ServerResponse }>
+  waiting: Array<{ request: IncomingMessage, response: ServerResponse, readAt: number }>
   /** A request before asked for the end of the connection, or the connection has ended. Nothing more is served. */
   closed: boolean
   /** The newest response, if it is to close the connection because the server stops. It no longer is when a request follows before its head is written. */
@@ -44,8 +44,10 @@
 
 /** Options of a pipeline. */
 export interface PipelineOptions {
-  /** Serves one request. It has ended when its response has closed. */
-  serve: (request: IncomingMessage, response: ServerResponse) => void
+  /** Serves one request that was read at `readAt`, in ms. It has ended when its response has closed. */
+  serve: (request: IncomingMessage, response: ServerResponse, readAt: number) => void
+  /** Returns the monotonic time in ms. */
+  now: () => number
   /** Returns true when each connection is to be closed with its last answer. */
   isStopping: () => boolean
   /** Records a request that was read but is not served, because an answer before its own closes the connection. */
@@ -57,7 +59,7 @@
  * A stop closes each connection with the answer to the last request that was read from it. What follows a closing answer is not served, so its client
  * may send it again.
  */
-export function createPipeline ({ serve, isStopping, leaveUnserved }: PipelineOptions): Pipeline {
+export function createPipeline ({ serve, now, isStopping, leaveUnserved }: PipelineOptions): Pipeline {
   const lines = new WeakMap<Duplex, Line>()
 
   const lineOf = (socket: Duplex): Line => {
@@ -74,7 +76,7 @@
     line.waiting = []
     for (const response of line.inProgress) if (response.socket === null) response.emit('close')
   }
-  const start = (line: Line, socket: Duplex, request: IncomingMessage, response: ServerResponse) => {
+  const start = (line: Line, socket: Duplex, { request, response, readAt }: Line['waiting'][number]) => {
     if (!response.shouldKeepAlive) {
       line.closed = true
       line.waiting = []
@@ -84,7 +86,7 @@
     }
     line.inProgress.add(response)
     response.once('close', () => finish(line, socket, response))
-    serve(request, response)
+    serve(request, response, readAt)
   }
   /** Keeps a connection open for a further request. Returns false when its last answer has begun. */
   const keepOpen = (line: Line): boolean => {
@@ -103,7 +105,7 @@
     while (line.inProgress.size < maxInProgress) {
       const next = line.waiting.shift()
       if (next === undefined) break
-      start(line, socket, next.request, next.response)
+      start(line, socket, next)
     }
     if (line.waiting.length < maxWaiting && socket.isPaused()) socket.resume()
   }
@@ -124,8 +126,9 @@
       const { socket } = request
       const line = lineOf(socket)
       if (!keepOpen(line)) return leaveUnserved(request)
-      if (line.waiting.length === 0 && line.inProgress.size < maxInProgress) return start(line, socket, request, response)
-      line.waiting.push({ request, response })
+      const arrived = { request, response, readAt: now() }
+      if (line.waiting.length === 0 && line.inProgress.size < maxInProgress) return start(line, socket, arrived)
+      line.waiting.push(arrived)
       if (line.waiting.length >= maxWaiting) socket.pause()
     },
     reject (error, socket) {
--- a/test/node/pipeline.test.ts
+++ b/test/node/pipeline.test.ts
@@ -6,7 +6,7 @@
 import { test } from 'node:test'
 import { createPipeline, maxInProgress } from '../../src/core/node/pipeline.ts'
 
-type Serve = (request: IncomingMessage, response: ServerResponse) => void
+type Serve = (request: IncomingMessage, response: ServerResponse, readAt?: number) => void
 
 /** A server with pipelines, and a client connection to it. */
 interface Setting {
@@ -28,14 +28,15 @@
   const served: string[] = []
   const cancelled: string[] = []
   const pipeline = createPipeline({
+    now: () => performance.now(),
     isStopping: () => stopping,
     leaveUnserved: () => {},
-    serve (request, response) {
+    serve (request, response, readAt) {
       served.push(request.url ?? '')
       response.once('close', () => {
         if (!response.writableFinished) cancelled.push(request.url ?? '')
       })
-      serve(request, response)
+      serve(request, response, readAt)
     }
   })
   const server = createServer(pipeline.accept).on('clientError', pipeline.reject)
@@ -239,3 +240,22 @@
   assert.deepEqual(received().match(/HTTP\/1.1 400/g), ['HTTP/1.1 400'])
   assert.equal(served.includes('/cut'), false)
 }))
+
+test('the time of a request counts from when it was read, not from its turn on the connection', () => {
+  const readAt: number[] = []
+  let finish = () => {}
+  const serve: Serve = (_request, response, time = Infinity) => {
+    readAt.push(time)
+    if (readAt.length === 1) finish = () => response.end('first')
+    else response.end('later')
+  }
+  return withServer(serve, async ({ socket, served }) => {
+    socket.write(Array.from({ length: maxInProgress + 1 }, (_, index) => get(`/${index}`)).join(''))
+    await pause(200)
+    const sentBy = performance.now()
+    finish()
+    await pause(50)
+    assert.equal(served.length, maxInProgress + 1)
+    assert.ok(readAt[maxInProgress] < sentBy - 100, `${readAt[maxInProgress]} ${sentBy}`)
+  })
+})
--- a/test/node/raw-path.ts
+++ b/test/node/raw-path.ts
@@ -160,7 +160,7 @@
     path.outcomes.push(outcome)
     await refusals.refuseUnlessAnswered(response, call, outcome)
   }
-  const pipeline = createPipeline({ serve: (request, response) => void serve(request, response), isStopping: () => false, leaveUnserved () {} })
+  const pipeline = createPipeline({ serve: (request, response) => void serve(request, response), now: () => 0, isStopping: () => false, leaveUnserved () {} })
   const callerServer = createHttpServer(pipeline.accept).on('clientError', pipeline.reject)
   const port = await listenAnywhere(callerServer)
   const path: RawPath = {
