A process whose timers are always late asks another one for a change too

Each request is excused once now. Test: test/peers/fetch.test.ts (timers are always late), which failed before with one process asked; all 39 tests of test/peers pass.

--- a/src/core/peers/fetch.ts
+++ b/src/core/peers/fetch.ts
@@ -31,6 +31,8 @@
   askedAt: number
   /** Time at which the last byte of the answer arrived, or at which it was asked. */
   heardAt: number
+  /** Whether it was excused for a time in which this process stood still. */
+  excused: boolean
 }
 
 /** What a process knows about newer configurations. Addresses are host:port. */
@@ -138,10 +140,12 @@
   for (const [source, until] of state.avoided) if (until <= now) state.avoided.delete(source)
 }
 
-/** Treats answers as just heard of when this process itself stood still: they may have arrived meanwhile. */
+/** Treats answers as just heard of when this process itself stood still: they may have arrived meanwhile. Once each, because a process that is always late would wait for ever. */
 function excuseOwnPause (state: FetchState, now: number): void {
   if (now - state.dueAt < silentAfterMs) return
   for (const inquiry of state.inquiries) {
+    if (inquiry.excused) continue
+    inquiry.excused = true
     inquiry.askedAt += now - inquiry.heardAt
     inquiry.heardAt = now
   }
@@ -173,7 +177,7 @@
   const source = chooseSource(state, now, choices)
   if (source === undefined) return
   if (state.inquiries.length >= maxInquiries) abandon(state, state.inquiries[0], effects)
-  const inquiry = { id: state.nextId++, source, askedAt: now, heardAt: now }
+  const inquiry = { id: state.nextId++, source, askedAt: now, heardAt: now, excused: false }
   state.inquiries.push(inquiry)
   effects.push({ type: 'ask', inquiry: inquiry.id, source })
 }
--- a/test/peers/fetch.test.ts
+++ b/test/peers/fetch.test.ts
@@ -80,6 +80,13 @@
   assert.deepEqual(asked, ['m'])
 })
 
+test('a process whose timers are always late asks another one nevertheless', () => {
+  const { state, asked, step } = createAsker()
+  step({ type: 'told', revision: 1, source: 'm', held: 1 }, 0)
+  for (let count = 0; count < 2; count++) step({ type: 'tick' }, state.dueAt + 2 * silentAfterMs)
+  assert.deepEqual(asked, ['m', 'a'])
+})
+
 test('answers without news lead to further questions, but not to a rush of them', () => {
   const { state, asked, step, run } = createAsker()
   step({ type: 'told', revision: 1, source: 'm', held: 1 }, 0)
