Only the leader's beacons state which revision is in force; waiters for a revision are a module

What a sender claims to have only decides whom to ask now; that a revision exists is stated by the leader. Those who wait for a revision (a ban that another node asks this one to have) moved out of the distribution.

--- a/src/core/peers/distribution.ts
+++ b/src/core/peers/distribution.ts
@@ -11,6 +11,7 @@
 import { fetchReplySchema, obtainRequestSchema } from './messages.ts'
 import type { Environment } from './peers.ts'
 import { createRevisionLog } from './revision-log.ts'
+import { createRevisionWaiters } from './revision-waiters.ts'
 import { chooseHolder, chooseRelays, chooseSource } from './spread.ts'
 
 /** Maximum number of deltas kept for peers that are a few revisions behind. */
@@ -37,13 +38,6 @@
   full?: Configuration
 }
 
-/** Somebody who waits until a revision is in force. */
-interface Waiting {
-  revision: number
-  resolve: (isHere: boolean) => void
-  timer: NodeJS.Timeout
-}
-
 /** Parts of a process that the distribution uses. */
 export interface DistributionContext {
   self: () => Member
@@ -81,7 +75,7 @@
   let deltas: Delta[] = []
   const fetch = createFetch()
   const cancellations = new Map<number, AbortController>()
-  let waiting: Waiting[] = []
+  const waiters = createRevisionWaiters()
   let tickTimer: NodeJS.Timeout | undefined
   /** The beacon that is held until its configuration is here. */
   let heldBeacon: { revision: number, relay: () => void } | undefined
@@ -91,8 +85,7 @@
   const nameOf = (peer: string): string => members().find((member) => member.address === peer)?.id ?? peer
   const receiveBeacon = ({ beacon, ageMs, held }: ReceivedBeacon, from: string) => {
     const wasBehind = isBehind(fetch)
-    const named = Math.max(beacon.revision, held)
-    if (named > configuration.revision) tell(named, from, held)
+    if (beacon.revision > configuration.revision) tell(beacon.revision, from, held)
     if (!acceptBeacon(freshness, beacon, ageMs, clock.now(), clock.date().getTime())) return
     if (beacon.revision <= configuration.revision) return relayBeacon(beacon)
     revisionLog.hear({ revision: beacon.revision, installed: configuration.revision, from: nameOf(from), ageMs: beaconAge(freshness, clock.now()) })
@@ -155,12 +148,7 @@
     advanceRevision(freshness, configuration.revision)
     revisionLog.install(configuration.revision, before, source)
     for (const listener of listeners) listener(configuration)
-    for (const { revision, resolve, timer } of waiting) {
-      if (revision > configuration.revision) continue
-      clearTimeout(timer)
-      resolve(true)
-    }
-    waiting = waiting.filter(({ revision }) => revision > configuration.revision)
+    waiters.reach(configuration.revision)
     handleEvent({ type: 'installed', revision: configuration.revision })
     if (heldBeacon !== undefined && heldBeacon.revision <= configuration.revision) heldBeacon.relay()
   }
@@ -197,15 +185,9 @@
   /** Fetches a revision, first from a process that has it, unless it is here. Resolves with false if it isn't here in time. */
   const obtainRevision = ({ revision, source }: ObtainRequest, timeoutMs = obtainTimeoutMs): Promise<boolean> => {
     if (configuration.revision >= revision) return Promise.resolve(true)
-    return new Promise((resolve) => {
-      const timer = setTimeout(() => {
-        waiting = waiting.filter((candidate) => candidate !== entry)
-        resolve(false)
-      }, timeoutMs)
-      const entry = { revision, resolve, timer }
-      waiting.push(entry)
-      tell(revision, source, revision)
-    })
+    const isHere = waiters.wait(revision, timeoutMs)
+    tell(revision, source, revision)
+    return isHere
   }
   const spreadRevision = async (revision: number, source: string, addresses: readonly string[], timeoutMs: number): Promise<number> => {
     if (!await obtainRevision({ revision, source }, timeoutMs)) return addresses.length
@@ -236,11 +218,8 @@
     close () {
       isOpen = false
       clearTimeout(tickTimer)
-      heldBeacon?.relay()
-      for (const { resolve, timer } of waiting) {
-        clearTimeout(timer)
-        resolve(false)
-      }
+      heldBeacon?.relay() // Only clears its timer by now.
+      waiters.close()
     }
   }
 }
