A call passed on to a silent leader goes to the next one

What operators saw: a control instance passed a change or a read on to the leader it knew and waited up to 4 s for it, also when that leader had fallen silent and another one had been elected after a second; the answer was "outcome unknown". The wait ends when another leader is known, and a call that has the same effect twice (a read, or a change with an id) is made again there. An answer that has begun to arrive is waited for. The others get their "outcome unknown" at once. The forwarding is a module of its own now; the code before has no seam at which test/control/forward.test.ts could fail, so that its failing before wasn't shown. Measured: 3 tests of it and the others of test/control and test/binary/control.test.ts pass.

--- a/src/core/control/control.ts
+++ b/src/core/control/control.ts
@@ -5,7 +5,7 @@
 import type { Change } from '../config/index.ts'
 import { holdsLease, hasCommittedInTerm, membersOf, totalBytes } from '../consensus/index.ts'
 import type { Message, Snapshot } from '../consensus/index.ts'
-import { fail, succeed } from '../errors/index.ts'
+import { succeed } from '../errors/index.ts'
 import type { Outcome } from '../errors/index.ts'
 import { beaconIntervalMs } from '../freshness/index.ts'
 import { closeServer, listen } from '../http/index.ts'
@@ -16,6 +16,7 @@
 import { createDisk, lockFolder, openLogStore } from '../storage/index.ts'
 import { handleAdmin } from './admin.ts'
 import { createAdminServer, credentialHash } from './api.ts'
+import { createForward } from './forward.ts'
 import { reconcileMembers } from './reconcile.ts'
 import { createGroup } from './group.ts'
 import type { Group, SendMessage } from './group.ts'
@@ -27,7 +28,6 @@
 import type { AdminAnswer, AdminRequest, ControlOptions } from './types.ts'
 
 const messageTimeoutMs = 1000
-const forwardTimeoutMs = 4000
 const housekeepingMs = 500
 const transferWaitMs = 400
 
@@ -114,14 +114,13 @@
     const member = membersOf(group.state).find((candidate) => candidate.id === leader)
     return member?.address ?? peers.freshness.newest?.address
   }
-  const handleOrForward = async (request: AdminRequest): Promise<AdminAnswer> => {
-    const address = leaderAddress()
-    if (address === undefined || address === peers.address) return await handleAdmin(request, admin)
-    const answer = await peers.rpc.call<AdminAnswer>(address, 'control.admin', request, forwardTimeoutMs)
-    if (answer.ok) return answer.value
-    const { status, name, message, hint } = fail('outcomeUnknown', { reason: answer.reason })
-    return { status, body: { error: name, message, hint } }
-  }
+  const handleOrForward = createForward({
+    ownAddress: peers.address,
+    leaderAddress,
+    handle: (request) => handleAdmin(request, admin),
+    call: (address, request, timeoutMs, progress) => peers.rpc.call(address, 'control.admin', request, timeoutMs, progress),
+    clock
+  })
   registerRpcMethods(id, peers, group, admin, isLeader, () => registry, environment)
   const rateTimer = startRateGrants(options.rateWindowMs, options.rateTolerance ?? { fraction: 0, requests: 0 }, peers, group, isLeader, () => registry, environment)
   const leaderTasks = startLeaderTasks(id, options, peers, group, isLeader, () => registry, hash, environment)
--- a/src/core/rpc/index.ts
+++ b/src/core/rpc/index.ts
@@ -1,5 +1,5 @@
 export { createRpcClient } from './client.ts'
-export type { RecordSent, RpcClient, RpcResult } from './client.ts'
+export type { CallProgress, RecordSent, RpcClient, RpcResult } from './client.ts'
 export { createRpcServer } from './server.ts'
 export type { RpcServer } from './server.ts'
 export { createDatagrams, splitAddress } from './datagrams.ts'
