A call between processes takes a timeout that is no whole number of milliseconds

The client rounds up now. test/rpc/progress.test.ts failed before; the raw answers of test/rpc/client.test.ts are cut after any byte for calls whose parts are followed, too. All of test/rpc, test/control and the platform tests that had failed first pass.

--- a/src/core/control/forward.ts
+++ b/src/core/control/forward.ts
@@ -44,7 +44,7 @@
     while (true) {
       const address = leaderAddress()
       if (address === undefined || address === ownAddress) return await handle(request)
-      const answer = await callUntilReplaced(address, request, Math.max(1, endsAt - clock.now()))
+      const answer = await callUntilReplaced(address, request, endsAt - clock.now())
       if (answer.ok) return answer.value
       const hasAnotherLeader = (leaderAddress() ?? address) !== address
       if (hasAnotherLeader && isRepeatable(request) && clock.now() < endsAt) continue
--- a/src/core/rpc/client.ts
+++ b/src/core/rpc/client.ts
@@ -44,6 +44,7 @@
     async call<Value> (address: string, method: string, params: unknown, timeoutMs: number, progress?: CallProgress): Promise<RpcResult<Value>> {
       const body = JSON.stringify(createJSONRPCRequest(nextId++, method, params as object))
       recordSent(address, method, Buffer.byteLength(body))
+      const timeout = AbortSignal.timeout(Math.max(1, Math.ceil(timeoutMs)))
       try {
         const response = await agent.request({
           origin: `http://${address}`,
@@ -51,7 +52,7 @@
           method: 'POST',
           headers: { 'content-type': 'application/json', [signatureHeader]: sealer.seal(body, clock.date()) },
           body,
-          signal: progress === undefined ? AbortSignal.timeout(timeoutMs) : AbortSignal.any([AbortSignal.timeout(timeoutMs), progress.signal])
+          signal: progress === undefined ? timeout : AbortSignal.any([timeout, progress.signal])
         })
         const answer: unknown = progress === undefined ? await response.body.json() : JSON.parse(await readText(response.body, progress.onArrival))
         if (!isJSONRPCResponse(answer)) return { ok: false, reason: `${address} gave no JSON-RPC answer` }
--- a/test/rpc/client.test.ts
+++ b/test/rpc/client.test.ts
@@ -5,13 +5,13 @@
 import { createSealer } from '../../src/core/auth/index.ts'
 import { systemClock as clock } from '../../src/core/clock/index.ts'
 import { createRpcClient } from '../../src/core/rpc/client.ts'
-import type { RpcResult } from '../../src/core/rpc/client.ts'
+import type { CallProgress, RpcResult } from '../../src/core/rpc/client.ts'
 
 const sealer = createSealer(['secret-of-the-test-cluster'])
 const timeoutMs = 2000
 
 /** Calls a raw server that answers each request with the next text and closes the connection. */
-async function callRaw (texts: string[], isReset: boolean): Promise<Array<RpcResult<unknown>>> {
+async function callRaw (texts: string[], isReset: boolean, progress?: CallProgress): Promise<Array<RpcResult<unknown>>> {
   const left = [...texts]
   const raw = createServer((socket) => {
     socket.on('error', () => {})
@@ -26,7 +26,7 @@
   const client = createRpcClient(sealer, clock, () => {})
   const results: Array<RpcResult<unknown>> = []
   try {
-    for (let count = 0; count < texts.length; count++) results.push(await client.call(`127.0.0.1:${(raw.address() as AddressInfo).port}`, 'm', {}, timeoutMs))
+    for (let count = 0; count < texts.length; count++) results.push(await client.call(`127.0.0.1:${(raw.address() as AddressInfo).port}`, 'm', {}, timeoutMs, progress))
   } finally {
     await client.close()
     raw.close()
@@ -39,11 +39,14 @@
   return `HTTP/1.1 200 OK\r\n${isFramed ? `Content-Length: ${body.length}\r\n` : ''}Connection: close\r\n\r\n${body}`
 }
 
+const followed: CallProgress = { signal: new AbortController().signal, onArrival () {} }
+
 for (const isFramed of [true, false]) {
-  for (const isReset of [false, true]) {
-    test(`an answer ${isFramed ? 'with' : 'without'} a length that is ${isReset ? 'reset' : 'closed'} after any byte is no result`, async () => {
+  for (const [isReset, progress] of [[false, undefined], [true, undefined], [false, followed], [true, followed]] as const) {
+    const what = `${isFramed ? 'with' : 'without'} a length that is ${isReset ? 'reset' : 'closed'}${progress === undefined ? '' : ' while its parts are followed'}`
+    test(`an answer ${what} after any byte is no result`, async () => {
       const text = answer(1700, isFramed)
-      const results = await callRaw(Array.from({ length: text.length }, (_, cut) => text.slice(0, cut)), isReset)
+      const results = await callRaw(Array.from({ length: text.length }, (_, cut) => text.slice(0, cut)), isReset, progress)
       assert.deepEqual(results.filter(({ ok }) => ok), [])
     })
   }
