--- a/src/core/log/events.ts
+++ b/src/core/log/events.ts
@@ -169,8 +169,8 @@
   /** A request for a newer configuration to another process has ended. */
   revisionFetched: defineEvent<{
     source: string
-    outcome: 'newer' | 'nothing newer' | 'failed'
-    /** Why it failed. */
+    outcome: 'newer' | 'nothing newer' | 'refused' | 'failed'
+    /** Why it was refused or failed. */
     reason?: string
     /** Revision that the answer led to; missing without one. */
     revision?: number
--- a/src/core/peers/distribution.ts
+++ b/src/core/peers/distribution.ts
@@ -178,7 +178,7 @@
     const answer = await rpc.call(peer, 'config.fetch', { since }, maxInquiryMs, { signal: cancellation.signal, onArrival })
     cancellations.delete(inquiry)
     if (!isOpen) return
-    const { outcome, reason } = answer.ok ? installReply(answer.value, peer) : { outcome: 'failed' as const, reason: answer.reason }
+    const { outcome, reason } = answer.ok ? installReply(answer.value, peer) : { outcome: answer.refused === true ? 'refused' as const : 'failed' as const, reason: answer.reason }
     revisionLog.endFetch({ source: nameOf(peer), outcome, reason, revision: outcome === 'newer' ? configuration.revision : undefined, since, startedAt })
     handleEvent({ type: 'ended', inquiry, outcome })
   }
--- a/src/core/peers/fetch.ts
+++ b/src/core/peers/fetch.ts
@@ -53,8 +53,8 @@
   nextId: number
 }
 
-/** How a request ended: with a newer configuration, without news, or without a usable answer. */
-export type InquiryOutcome = 'newer' | 'nothing newer' | 'failed'
+/** How a request ended: with a newer configuration, without news, with an error that a process answered, such as for want of room, or without a usable answer. */
+export type InquiryOutcome = 'newer' | 'nothing newer' | 'refused' | 'failed'
 
 /** What happened. */
 export type FetchEvent =
--- a/src/core/peers/revision-log.ts
+++ b/src/core/peers/revision-log.ts
@@ -21,7 +21,7 @@
 export interface FetchEnd {
   source: string
   outcome: InquiryOutcome
-  /** Why it failed. */
+  /** Why it was refused or failed. */
   reason?: string
   /** Revision installed when it ended, if it brought a newer one. */
   revision?: number
--- a/src/core/rpc/client.ts
+++ b/src/core/rpc/client.ts
@@ -6,8 +6,8 @@
 
 const connectTimeoutMs = 1000
 
-/** Result of a remote call: the value, or the reason why there is none. */
-export type RpcResult<Value> = { ok: true, value: Value } | { ok: false, reason: string }
+/** Result of a remote call: the value, or the reason why there is none. `refused` is true where the other process answered with an error. */
+export type RpcResult<Value> = { ok: true, value: Value } | { ok: false, reason: string, refused?: boolean }
 
 /** Records the bytes of a message that was sent to host:port; `kind` is its method. */
 export type RecordSent = (address: string, kind: string, bytes: number) => void
@@ -56,7 +56,7 @@
         })
         const answer: unknown = progress === undefined ? await response.body.json() : JSON.parse(await readText(response.body, progress.onArrival))
         if (!isJSONRPCResponse(answer)) return { ok: false, reason: `${address} gave no JSON-RPC answer` }
-        if (answer.error !== undefined) return { ok: false, reason: answer.error.message }
+        if (answer.error !== undefined) return { ok: false, reason: answer.error.message, refused: true }
         return { ok: true, value: answer.result as Value }
       } catch (error) {
         return { ok: false, reason: error instanceof Error ? error.message : String(error) }
--- a/test/peers/fetch.test.ts
+++ b/test/peers/fetch.test.ts
@@ -72,6 +72,15 @@
   assert.equal(new Set(asked).size, asked.length)
 })
 
+test('a process that has no room for an answer now is not taken for a silent one', () => {
+  const { state, step, run } = createAsker()
+  step({ type: 'told', revision: 1, source: 'm', held: 1 }, 0)
+  step({ type: 'ended', inquiry: 1, outcome: 'refused' }, 5)
+  assert.deepEqual([...state.avoided], [])
+  run(1000)
+  assert.ok(state.inquiries.length > 0)
+})
+
 test('a process that stood still itself blames nobody for it', () => {
   const { state, asked, step } = createAsker()
   step({ type: 'told', revision: 1, source: 'm', held: 1 }, 0)
--- a/test/rpc/progress.test.ts
+++ b/test/rpc/progress.test.ts
@@ -13,6 +13,7 @@
 async function withClient (use: (client: RpcClient, address: string) => Promise<void>): Promise<void> {
   const rpcServer = createRpcServer(sealer, clock, () => {})
   rpcServer.method('echo', (value: unknown) => value)
+  rpcServer.method('refuse', () => { throw new Error('no room now') })
   rpcServer.method('never', () => new Promise(() => {}))
   const server = createServer(rpcServer.handle).listen(0, '127.0.0.1')
   await once(server, 'listening')
@@ -43,3 +44,8 @@
   assert.deepEqual(await client.call(address, 'never', {}, 4000, progress), { ok: false, reason: 'not needed any more' })
   assert.ok(clock.now() - startedAt < 2000)
 }))
+
+test('a process that answers with an error is told apart from one that does not answer', () => withClient(async (client, address) => {
+  assert.deepEqual(await client.call(address, 'refuse', {}, 4000), { ok: false, reason: 'no room now', refused: true })
+  assert.deepEqual(await client.call(address, 'never', {}, 50), { ok: false, reason: 'The operation was aborted due to timeout' })
+}))
