--- a/src/core/config/index.ts
+++ b/src/core/config/index.ts
@@ -1,4 +1,4 @@
-export { applyDeltas, dropSuperseded, emptyConfiguration, newerConfiguration } from './replica.ts'
+export { applyDeltas, dropSuperseded, emptyConfiguration } from './replica.ts'
 export { workspacesWithRateLimit, rateLimitOf } from './limits.ts'
 export type { RateLimit } from './limits.ts'
 export { createRouteTable, parametersOf } from './routes.ts'
--- a/src/core/config/replica.ts
+++ b/src/core/config/replica.ts
@@ -48,8 +48,3 @@
 function keyOf ({ collection, name }: Difference): string {
   return `${collection} ${name}`
 }
-
-/** Returns the newer of two configurations. */
-export function newerConfiguration (left: Configuration, right: Configuration): Configuration {
-  return right.revision > left.revision ? right : left
-}
--- a/src/core/node/filters.ts
+++ b/src/core/node/filters.ts
@@ -190,7 +190,7 @@
   return accepted
 }
 
-/** Refuses a request whose time has passed while it waited for its turn, its body or its rate. */
+/** Refuses a request whose time has passed while it waited for its turn or its body. It precedes the rate, so that it isn't counted. */
 function checkDeadline ({ route, callerRequest, arrivedAt }: Arrival, { environment: { clock } }: EntryContext): Outcome<null> {
   if (route === undefined || clock.now() < arrivedAt + requestTimeoutMs(route, callerRequest)) return accepted
   return fail('deadline', { stage: 'before the request began' })
