--- a/src/cli/node/index.ts
+++ b/src/cli/node/index.ts
@@ -19,11 +19,15 @@
   seeds = flag('seeds')
   secrets = flag('secrets')
   rateWindowMs = flag('rateWindowMs')
+  roomPlacement = flag('roomPlacement')
+  roomShares = flag('roomShares')
+  rankedWaiting = flag('rankedWaiting')
+  plannedReturns = flag('plannedReturns')
   stopTimeoutMs = flag('stopTimeoutMs')
   jsonLog = flag('jsonLog')
 
   async execute (): Promise<number> {
-    const options = checkSettings(['id', 'domain', 'listen', 'peer', 'local', 'seeds', 'secrets', 'rateWindowMs', 'stopTimeoutMs', 'jsonLog'], this)
+    const options = checkSettings(['id', 'domain', 'listen', 'peer', 'local', 'seeds', 'secrets', 'rateWindowMs', 'roomPlacement', 'roomShares', 'rankedWaiting', 'plannedReturns', 'stopTimeoutMs', 'jsonLog'], this)
     if (options === undefined) return usageExitCode
     limitHeapSize()
     if (await this.isStopRequested()) return 0
--- a/src/core/node/call-codec.ts
+++ b/src/core/node/call-codec.ts
@@ -18,7 +18,7 @@
 
 /** Fields of a context in the order in which they are sent between nodes, without their names. */
 const contextFields = [
-  'attempt', 'chain', 'lineage', 'workspace', 'keyId', 'template', 'route', 'service', 'priority', 'weight', 'idempotent', 'needsClaim', 'host',
+  'attempt', 'chain', 'lineage', 'workspace', 'keyId', 'template', 'route', 'service', 'priority', 'rank', 'weight', 'idempotent', 'needsClaim', 'host',
   'digest', 'fingerprint', 'suspect', 'resendable', 'depth', 'budget', 'remainingMs', 'waitMs'
 ] as const satisfies ReadonlyArray<keyof CallContext>
 
@@ -52,8 +52,8 @@
 }
 
 /** Encodes the head of an answer. */
-export function encodeHead (status: number, headers: string[], { used, load, shed, share }: Report): unknown[] {
-  return [status, headers, used, load, shed, share ?? absentValue]
+export function encodeHead (status: number, headers: string[], { used, load, shed, share, room, workMs }: Report): unknown[] {
+  return [status, headers, used, load, shed, share ?? absentValue, room ?? absentValue, workMs ?? absentValue]
 }
 
 /** Encodes the reason why there is no answer. */
@@ -61,11 +61,18 @@
   return unanswered
 }
 
+/** Returns the fields that are present. */
+function withoutAbsent (fields: Record<string, number | null>): Record<string, number> {
+  const present: Record<string, number> = {}
+  for (const [name, value] of Object.entries(fields)) if (value !== absentValue) present[name] = value
+  return present
+}
+
 /** Decodes a reply. Returns undefined for a value of another version of the program. */
 export function decodeReply (value: unknown): CallReply | undefined {
   if (Array.isArray(value)) {
-    const [status, headers, used, load, shed, share] = value as [number, string[], number, number, boolean, number | null]
-    return { type: 'head', status, headers, report: { used, load, shed, ...(share === absentValue ? {} : { share }) } }
+    const [status, headers, used, load, shed, share, room, workMs] = value as [number, string[], number, number, boolean, number | null, number | null, number | null]
+    return { type: 'head', status, headers, report: { used, load, shed, ...withoutAbsent({ share, room, workMs }) } }
   }
   const unanswered = value as Unanswered | null
   return unanswered !== null && typeof unanswered === 'object' && 'failure' in unanswered ? { type: 'unanswered', unanswered } : undefined
--- a/src/core/node/entry.ts
+++ b/src/core/node/entry.ts
@@ -51,6 +51,7 @@
       route: route.name,
       service: route.service,
       priority: inProgress ? inProgressPriority : route.priority,
+      rank: route.priority,
       weight: parameters.weight,
       idempotent: route.idempotent,
       needsClaim: !route.idempotent && !dialect.singleEntry,
--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -75,6 +75,14 @@
   fleetRetries?: number
   /** Window over which the rate and burst of a workspace form one allowance, in ms. Default: 0, a token bucket. */
   rateWindowMs?: number
+  /** Whether the room of targets decides where calls go. Default: true. */
+  roomPlacement?: boolean
+  /** Whether the room of services limits the requests that are begun. Default: true. */
+  roomShares?: boolean
+  /** Whether calls of requests in progress wait by the priority of their request. Default: true. */
+  rankedWaiting?: boolean
+  /** Whether Retry-After follows the expected room. Default: true. */
+  plannedReturns?: boolean
   /** Time after which an idle connection of a caller is closed, in ms. Default: 5000. */
   keepAliveMs?: number
 }
--- a/src/core/node/outgoing.ts
+++ b/src/core/node/outgoing.ts
@@ -74,6 +74,7 @@
       route: route.name,
       service: route.service,
       priority: parent.priority,
+      rank: parent.rank,
       weight: parent.weight,
       idempotent: route.idempotent,
       needsClaim: !route.idempotent,
--- a/src/core/node/types.ts
+++ b/src/core/node/types.ts
@@ -19,6 +19,8 @@
   service: string
   /** Lower numbers are shed later: from 0 for new requests, negative for calls of requests in progress. */
   priority: number
+  /** Priority of the caller's request to which the call belongs, from 0. Where targets do not name that request, it is estimated. */
+  rank: number
   weight: number
   idempotent: boolean
   /** A claim must be held before the request runs. */
@@ -82,6 +84,10 @@
   shed: boolean
   /** Admission fraction of the target and its callees; missing when no node answered. */
   share?: number
+  /** Requests that the target works on well at once; missing where its node does not state it. */
+  room?: number
+  /** Mean working time at the target of requests of this call's route, without their own calls, in ms; missing until some have ended. */
+  workMs?: number
 }
 
 /** Receives an answer as a stream. */
--- a/src/core/settings/schema.ts
+++ b/src/core/settings/schema.ts
@@ -90,6 +90,14 @@
   claims: defineSetting({ flag: '--claims', variable: 'DOGWOODSPRING_CLAIMS', description: 'Place claims for non-idempotent requests on the nodes', unit: 'true or false', fallback: 'true', example: 'false', schema: booleanSchema }),
   /** Window over which rate and burst are enforced. Default: 0 ms. */
   rateWindowMs: defineSetting({ flag: '--rate-window', variable: 'DOGWOODSPRING_RATE_WINDOW', description: 'Window over which rate and burst of a workspace are enforced, the same on nodes and control instances; 0 enforces them at every moment', unit: 'ms', fallback: '0', example: '5000', schema: millisecondsSchema }),
+  /** Whether the room of targets decides where calls go. Default: true. */
+  roomPlacement: defineSetting({ flag: '--room-placement', variable: 'DOGWOODSPRING_ROOM_PLACEMENT', description: 'Place calls by the room and speed that targets are found to have, instead of their announced slots', unit: 'true or false', fallback: 'true', example: 'false', schema: booleanSchema }),
+  /** Whether the room of services limits the requests that are begun. Default: true. */
+  roomShares: defineSetting({ flag: '--room-shares', variable: 'DOGWOODSPRING_ROOM_SHARES', description: 'Begin no more requests than the services to which they lead have room for, divided by priority, route and workspace', unit: 'true or false', fallback: 'true', example: 'false', schema: booleanSchema }),
+  /** Whether calls of requests in progress wait by the priority of their request. Default: true. */
+  rankedWaiting: defineSetting({ flag: '--ranked-waiting', variable: 'DOGWOODSPRING_RANKED_WAITING', description: 'Let calls of requests in progress wait by the priority of the request that they belong to, beside requests that need their target only', unit: 'true or false', fallback: 'true', example: 'false', schema: booleanSchema }),
+  /** Whether Retry-After follows the expected room. Default: true. */
+  plannedReturns: defineSetting({ flag: '--planned-returns', variable: 'DOGWOODSPRING_PLANNED_RETURNS', description: 'Ask refused callers to return when room is expected, within the time that they have left', unit: 'true or false', fallback: 'true', example: 'false', schema: booleanSchema }),
   /** Token of the first operator. */
   operatorToken: defineSetting({ flag: '--operator-token', variable: 'DOGWOODSPRING_OPERATOR_TOKEN', description: 'Token of the first operator, created when the group has none', unit: 'text', fallback: '', example: 'a-long-random-text', schema: v.string() }),
   /** Longest time that a stop waits for running calls. Default: 30000 ms. */
--- a/test/node/call-codec.test.ts
+++ b/test/node/call-codec.test.ts
@@ -18,6 +18,7 @@
   route: 'r',
   service: 's',
   priority: -1,
+  rank: 1,
   weight: 2,
   idempotent: false,
   needsClaim: true,
--- a/test/node/raw-path.ts
+++ b/test/node/raw-path.ts
@@ -140,7 +140,7 @@
   let nextId = 1000
   const createCall = (request: IncomingMessage, body: Buffer): Call => {
     const id = `r${nextId++}`
-    const context = { attempt: id, chain: id, lineage: id, workspace: null, route: 'r', template: 't', service: 's', priority: 2, weight: 1, idempotent: true, fingerprint: id, depth: 0, budget: 0, remainingMs: timeoutMs }
+    const context = { attempt: id, chain: id, lineage: id, workspace: null, route: 'r', template: 't', service: 's', priority: 2, rank: 2, weight: 1, idempotent: true, fingerprint: id, depth: 0, budget: 0, remainingMs: timeoutMs }
     return {
       context: { keyId: null, needsClaim: false, host: null, digest: '', suspect: false, resendable: false, ...context } satisfies CallContext,
       method: request.method ?? '',
--- a/test/node/serve.test.ts
+++ b/test/node/serve.test.ts
@@ -81,6 +81,7 @@
       route: 'r',
       service: 's',
       priority: 2,
+      rank: 2,
       weight: 1,
       idempotent: true,
       needsClaim: false,
