Calls in progress wait by the rank of their caller's request

Change: where requests wait by rank, the lowest rank goes first and calls in progress go before new requests of their rank; each of the two keeps a part of the starts and of the places in the queue. Requests that make calls leave a part of the slots to those that need their target only, while they mostly wait. The rank of a call whose target does not name its request is drawn from the requests that run there. Setting rankedWaiting, false for the order of before.

--- a/src/core/admission/constants.ts
+++ b/src/core/admission/constants.ts
@@ -42,3 +42,24 @@
 
 /** Fraction of the slots that is the first limit of a target that has just started. */
 export const coldStartFraction = 0.25
+
+/** Starts of the other group by which a waiting group may be passed over in a row: it keeps a quarter of the starts. */
+export const maxPassedOver = 3
+
+/** Starts of calls in progress of better ranks by which waiting new requests may be passed over in a row. */
+export const maxPassedOverByBetter = 15
+
+/** Places of the queue that each group keeps, as a fraction of its capacity. */
+export const reservedPlaces = 0.25
+
+/** Fraction of the slots that requests with calls of their own leave to those without, while they mostly wait. */
+export const workingReserve = 0.15
+
+/** Further fraction of the slots that requests with calls leave to those of a better rank, while they mostly wait. */
+export const rankReserve = 0.05
+
+/** Fraction of the requests with calls from which they count as mostly waiting for these. */
+export const mostlyWaitingFraction = 0.5
+
+/** Time for which slots stay reserved after the last request that could use them, in milliseconds. */
+export const reserveLifeMs = 5000
--- a/src/core/admission/queue.ts
+++ b/src/core/admission/queue.ts
@@ -1,6 +1,9 @@
 import { normalWaitMs, minQueue, overloadAfterMs, overloadWaitMs, queuePerSlot, typicalTimeWeight } from './constants.ts'
 import { createFixedLimit, createLimit, recordSample } from './limit.ts'
 import type { ConcurrencyLimit, Sample } from './limit.ts'
+import { recordArrival, recordHolder, releaseHolder } from './held-slots.ts'
+import { createRankedWaiting, findLast, takeNext } from './ranked.ts'
+import type { RankedWaiting } from './ranked.ts'
 
 /** A request that is to run at a target. */
 export interface QueuedRequest {
@@ -9,6 +12,12 @@
   kind: string
   /** Lower numbers are shed later. */
   priority: number
+  /** Priority of the caller's request to which it belongs, from 0. Default: its own. */
+  rank?: number
+  /** True for a call of a request in progress. Default: whether the priority is negative. */
+  inProgress?: boolean
+  /** True for a request that makes calls of its own while it runs. Default: false. */
+  needsCalls?: boolean
   /** Workspace, or an empty string on routes open to all. */
   workspace: string
   weight: number
@@ -39,11 +48,15 @@
   emptyAt: number
   /** Moving average of the time of a request at the target in ms, by kind. */
   typicalMs: Map<string, number>
+  /** Present where requests wait by rank; otherwise by priority alone. */
+  ranked?: RankedWaiting
 }
 
-/** Creates the admission of a target with `slots` that has just started. An adaptive limit may stay below the slots. */
-export function createAdmission (slots: number, now: number, isAdaptive = true): Admission {
-  return { limit: isAdaptive ? createLimit(slots, now) : createFixedLimit(slots, now), running: 0, queue: [], finishTimes: new Map(), virtualTime: 0, emptyAt: now, typicalMs: new Map() }
+/** Creates the admission of a target with `slots` that has just started. An adaptive limit may stay below the slots. With `isRanked`, requests wait by rank. */
+export function createAdmission (slots: number, now: number, isAdaptive = true, isRanked = false): Admission {
+  const limit = isAdaptive ? createLimit(slots, now) : createFixedLimit(slots, now)
+  const ranked = isRanked ? createRankedWaiting() : undefined
+  return { limit, running: 0, queue: [], finishTimes: new Map(), virtualTime: 0, emptyAt: now, typicalMs: new Map(), ranked }
 }
 
 /** Returns the running and waiting requests divided by the concurrency limit. */
@@ -64,10 +77,11 @@
     return decision
   }
   if (admission.queue.length === 0) admission.emptyAt = now
+  if (admission.ranked !== undefined) recordArrival(admission.ranked.held, entry, now)
   admission.queue.push(entry)
   startNext(admission, now, decision)
   const capacity = Math.max(minQueue, Math.ceil(admission.limit.value * queuePerSlot))
-  if (admission.queue.length > capacity) shedWorst(admission, entry.id, decision)
+  if (admission.queue.length > capacity) shedWorst(admission, capacity, entry.id, decision)
   return decision
 }
 
@@ -81,14 +95,18 @@
   typicalMs.set(kind, known + typicalTimeWeight * (latencyMs - known))
 }
 
-/** Records the end of a request and starts the next ones. `sample` is missing when the request never reached the target. */
-export function finish (admission: Admission, sample: FinishedRequest | undefined, now: number): AdmissionDecision {
+/**
+ * Records the end of a request and starts the next ones. `sample` is missing when the request never reached the target. Where requests wait by rank,
+ * `id` names the one that ended.
+ */
+export function finish (admission: Admission, sample: FinishedRequest | undefined, now: number, id?: string): AdmissionDecision {
   const decision: AdmissionDecision = { started: [], shed: [] }
   if (sample !== undefined) {
     recordSample(admission.limit, { ...sample, running: admission.running }, now)
     if (!sample.failed) updateTypicalTime(admission, sample)
   }
   admission.running--
+  if (id !== undefined && admission.ranked !== undefined) releaseHolder(admission.ranked.held, id)
   startNext(admission, now, decision)
   return decision
 }
@@ -136,10 +154,12 @@
 function startNext (admission: Admission, now: number, decision: AdmissionDecision): void {
   shedLate(admission, now, decision)
   while (admission.queue.length > 0 && admission.running < Math.floor(admission.limit.value)) {
-    const index = bestIndex(admission, now)
+    const index = nextIndex(admission, now)
+    if (index < 0) break
     const [entry] = admission.queue.splice(index, 1)
     chargeWorkspace(admission, entry)
     admission.running++
+    if (admission.ranked !== undefined) recordHolder(admission.ranked.held, entry)
     decision.started.push(entry.id)
   }
   if (admission.queue.length === 0) admission.emptyAt = now
@@ -162,6 +182,15 @@
   return lowest
 }
 
+/** Returns the index of the next request to start, or -1 when none may start. */
+function nextIndex (admission: Admission, now: number): number {
+  const { ranked, queue, limit } = admission
+  if (ranked === undefined) return bestIndex(admission, now)
+  const newestFirst = isOverloaded(admission, now)
+  const goesFirst = (left: QueuedRequest, right: QueuedRequest) => isBetter(admission, left, right, newestFirst)
+  return takeNext(ranked, { queue, slots: Math.floor(limit.value), goesFirst }, now)
+}
+
 /** Returns the index of the next request to start: highest priority first, then the workspace with the least service, then newest first under overload. */
 function bestIndex (admission: Admission, now: number): number {
   const newestFirst = isOverloaded(admission, now)
@@ -180,18 +209,26 @@
   return newestFirst ? left.arrivedAt > right.arrivedAt : left.arrivedAt < right.arrivedAt
 }
 
-/** Sheds the oldest request of the lowest priority, from the workspace with the most waiting requests relative to its weight. */
-function shedWorst (admission: Admission, newId: string, decision: AdmissionDecision): void {
-  const lowest = Math.max(...admission.queue.map((entry) => entry.priority))
+/** Returns which requests are the first to be shed, or undefined when none has to be. */
+function findShedClass ({ ranked, queue }: Admission, capacity: number): ((entry: QueuedRequest) => boolean) | undefined {
+  if (ranked !== undefined) return findLast(queue, capacity)
+  const lowest = Math.max(...queue.map((entry) => entry.priority))
+  return (entry) => entry.priority === lowest
+}
+
+/** Sheds the oldest request of those that are to be shed first, from the workspace with the most of them waiting relative to its weight. */
+function shedWorst (admission: Admission, capacity: number, newId: string, decision: AdmissionDecision): void {
+  const isCandidate = findShedClass(admission, capacity)
+  if (isCandidate === undefined) return
   const waiting = new Map<string, number>()
   for (const entry of admission.queue) {
-    if (entry.priority === lowest) waiting.set(entry.workspace, (waiting.get(entry.workspace) ?? 0) + 1 / entry.weight)
+    if (isCandidate(entry)) waiting.set(entry.workspace, (waiting.get(entry.workspace) ?? 0) + 1 / entry.weight)
   }
   let worst = -1
   let largestExcess = -Infinity
   for (const [index, entry] of admission.queue.entries()) {
     const excess = waiting.get(entry.workspace) ?? 0
-    if (entry.priority !== lowest || excess <= largestExcess) continue
+    if (!isCandidate(entry) || excess <= largestExcess) continue
     worst = index
     largestExcess = excess
   }
--- /dev/null
+++ b/src/core/admission/ranked.ts
@@ -0,0 +1,98 @@
+import { maxPassedOver, maxPassedOverByBetter, reservedPlaces } from './constants.ts'
+import { createHeldSlots, mayTakeSlot } from './held-slots.ts'
+import type { HeldSlots } from './held-slots.ts'
+import { groupOf, rankOf } from './rank.ts'
+import type { Group } from './rank.ts'
+import type { QueuedRequest } from './queue.ts'
+
+/** State of a queue in which requests wait by the rank of the caller's request that they belong to. */
+export interface RankedWaiting {
+  /** Starts of the other group since the last start of each group, up to the most that matters. */
+  passedOver: Record<Group, number>
+  held: HeldSlots
+}
+
+/** A queue and what decides between its requests. */
+export interface WaitingLine {
+  queue: readonly QueuedRequest[]
+  /** Slots of the target. */
+  slots: number
+  /** Returns true when the first of two requests of the same rank and group goes before the second. */
+  goesFirst: (left: QueuedRequest, right: QueuedRequest) => boolean
+}
+
+/** Creates the state of an empty queue. */
+export function createRankedWaiting (): RankedWaiting {
+  return { passedOver: { 'in-progress': 0, new: 0 }, held: createHeldSlots() }
+}
+
+/**
+ * Returns the index of the next request to start, or -1 when none may start: lowest rank first, within a rank calls in progress before new
+ * requests. A group that was passed over too often goes first, so that neither waits in vain.
+ */
+export function takeNext (ranked: RankedWaiting, line: WaitingLine, now: number): number {
+  const first = firstByGroup(ranked.held, line, now)
+  const group = nextGroup(ranked.passedOver, line.queue[first['in-progress']], line.queue[first.new])
+  if (group === undefined) return -1
+  const other = otherGroup(group)
+  ranked.passedOver[group] = 0
+  ranked.passedOver[other] = Math.min(maxPassedOverByBetter, ranked.passedOver[other] + 1)
+  return first[group]
+}
+
+function otherGroup (group: Group): Group {
+  return group === 'new' ? 'in-progress' : 'new'
+}
+
+/** Returns the index of the first request of each group that may start, or -1. */
+function firstByGroup (held: HeldSlots, { queue, slots, goesFirst }: WaitingLine, now: number): Record<Group, number> {
+  const first: Record<Group, number> = { 'in-progress': -1, new: -1 }
+  for (const [index, entry] of queue.entries()) {
+    const group = groupOf(entry)
+    const known = queue[first[group]]
+    if (known !== undefined && !precedes(entry, known, goesFirst)) continue
+    if (mayTakeSlot(held, entry, slots, now)) first[group] = index
+  }
+  return first
+}
+
+function precedes (left: QueuedRequest, right: QueuedRequest, goesFirst: WaitingLine['goesFirst']): boolean {
+  return rankOf(left) === rankOf(right) ? goesFirst(left, right) : rankOf(left) < rankOf(right)
+}
+
+function nextGroup (passedOver: Record<Group, number>, call: QueuedRequest | undefined, request: QueuedRequest | undefined): Group | undefined {
+  if (call === undefined) return request && 'new'
+  if (request === undefined) return 'in-progress'
+  if (rankOf(request) < rankOf(call)) return passedOver['in-progress'] >= maxPassedOver ? 'in-progress' : 'new'
+  const most = rankOf(request) === rankOf(call) ? maxPassedOver : maxPassedOverByBetter
+  return passedOver.new >= most ? 'new' : 'in-progress'
+}
+
+/**
+ * Returns which requests of a queue are the first to be shed, or undefined when none has to be: new requests of the highest rank, then calls in
+ * progress of that rank. Each group has places of its own, which the other cannot take: they come on top of the capacity, so that nothing is
+ * displaced by what goes after it.
+ */
+export function findLast (queue: readonly QueuedRequest[], capacity: number): ((entry: QueuedRequest) => boolean) | undefined {
+  if (queue.length <= capacity) return undefined
+  const places = Math.ceil(capacity * reservedPlaces)
+  const waiting: Record<Group, number> = { 'in-progress': 0, new: 0 }
+  for (const entry of queue) waiting[groupOf(entry)]++
+  const last = lastOf(queue)
+  const group = groupOf(last)
+  if (waiting[group] > places) return isOfClass(last)
+  if (queue.length <= capacity + places) return undefined
+  return isOfClass(lastOf(queue.filter((entry) => groupOf(entry) !== group)))
+}
+
+function isOfClass (example: QueuedRequest): (entry: QueuedRequest) => boolean {
+  return (entry) => rankOf(entry) === rankOf(example) && groupOf(entry) === groupOf(example)
+}
+
+function lastOf (queue: readonly QueuedRequest[]): QueuedRequest {
+  let last = queue[0]
+  for (const entry of queue) {
+    if (rankOf(entry) > rankOf(last) || (rankOf(entry) === rankOf(last) && groupOf(last) === 'in-progress')) last = entry
+  }
+  return last
+}
--- a/src/core/log/events.ts
+++ b/src/core/log/events.ts
@@ -88,6 +88,8 @@
   /** The queue before a target shed a call. */
   callShed: defineEvent<Cause & Callee & StopTimes & {
     shedReason: string
+    /** Priority of the caller's request to which the call belongs, from 0. */
+    rank: number
     waitedMs: number
     /** Longest wait that the call allowed; null for the default of the queue. */
     maxWaitMs: number | null
--- a/src/core/node/decisions.ts
+++ b/src/core/node/decisions.ts
@@ -199,7 +199,7 @@
         const { elapsedMs: waitedMs, ...times } = timesOf(call, arrivedAt)
         const maxWaitMs = call.context.waitMs === undefined ? null : round(call.context.waitMs)
         const state = { running: gate.running(), limit: round(gate.limit(), 1), load: round(gate.load(), 2) }
-        return { ...describe(call), ...causeOf(failure), shedReason, waitedMs, maxWaitMs, ...state, ...times }
+        return { ...describe(call), ...causeOf(failure), shedReason, rank: call.context.rank, waitedMs, maxWaitMs, ...state, ...times }
       })
     },
     refuseClaim (call, claim) {
--- a/src/core/node/dependencies.ts
+++ b/src/core/node/dependencies.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../clock/index.ts'
+import type { Random } from '../random/index.ts'
 
 /** Time constant of the decay of all counts, in milliseconds. */
 const decayMs = 15_000
@@ -25,6 +26,8 @@
 interface RouteActivity {
   route: string
   running: number
+  /** Running requests by rank. */
+  runningByRank: Map<number, number>
   /** Decayed count of runs. */
   runs: number
   /** Decayed sum of the running time of the route, in ms. */
@@ -52,14 +55,19 @@
  * them: the call rate of each route is estimated by expectation maximization for a sum of Poisson processes.
  */
 export interface Dependencies {
-  /** Records that the node's own target started a request of a route. */
-  recordStart: (route: string) => void
-  /** Records that the node's own target finished a request of a route. */
-  recordEnd: (route: string) => void
+  /** Records that the node's own target started a request of a route and rank. */
+  recordStart: (route: string, rank: number) => void
+  /** Records that the node's own target finished a request of a route and rank. */
+  recordEnd: (route: string, rank: number) => void
   /** Records a call of the node's own target. `callee` names the service and the route of the call. */
   recordCall: (callee: string) => void
   /** Returns the callees that a route calls regularly. */
   neededCallees: (route: string) => readonly string[]
+  /**
+   * Returns the rank of a running request, drawn in proportion to the rates at which the routes call the callee, or of any running request where
+   * these are not known yet; undefined when nothing runs.
+   */
+  drawRank: (callee: string, random: Random) => number | undefined
 }
 
 function decayFactor (ageMs: number): number {
@@ -84,24 +92,47 @@
   return rates
 }
 
+/** Returns a rank drawn in proportion to the running requests of each route and rank, times the weight of the route; undefined when all are 0. */
+function drawRunningRank (routes: readonly RouteActivity[], weightOf: (index: number) => number, random: Random): number | undefined {
+  const choices: Array<{ rank: number, weight: number }> = []
+  let sum = 0
+  for (const [index, { runningByRank }] of routes.entries()) {
+    for (const [rank, running] of runningByRank) {
+      const weight = running * weightOf(index)
+      if (weight > 0) choices.push({ rank, weight })
+      sum += weight
+    }
+  }
+  if (choices.length <= 1) return choices[0]?.rank
+  let left = random.next() * sum
+  for (const { rank, weight } of choices) {
+    left -= weight
+    if (left < 0) return rank
+  }
+  return choices.at(-1)?.rank
+}
+
 /** Creates empty statistics. */
 export function createDependencies (clock: Clock): Dependencies {
   const routes: RouteActivity[] = []
   const indexes = new Map<string, number>()
   const callees = new Map<string, Calls>()
   let neededByRoute = new Map<string, string[]>()
+  /** Estimated calls per millisecond by callee, in the order of the routes. */
+  const ratesByCallee = new Map<string, number[]>()
   let estimatedAt = -Infinity
 
   const reset = () => {
     routes.length = 0
     indexes.clear()
     callees.clear()
+    ratesByCallee.clear()
   }
   const activityOf = (route: string): RouteActivity => {
     const index = indexes.get(route)
     if (index !== undefined) return routes[index]
     if (routes.length >= maxRoutes) reset()
-    const created: RouteActivity = { route, running: 0, runs: 0, runTimeMs: 0, updatedAt: clock.now() }
+    const created: RouteActivity = { route, running: 0, runningByRank: new Map(), runs: 0, runTimeMs: 0, updatedAt: clock.now() }
     indexes.set(route, routes.push(created) - 1)
     return created
   }
@@ -124,23 +155,29 @@
     for (const [callee, calls] of callees) {
       updateCalls(calls)
       const threshold = Math.max(neededCalls, neededFraction * calls.count / Math.max(1, runs))
-      for (const [index, rate] of estimateRates(calls, routes, estimatedAt).entries()) {
+      const rates = estimateRates(calls, routes, estimatedAt)
+      ratesByCallee.set(callee, rates)
+      for (const [index, rate] of rates.entries()) {
         const { route, runTimeMs, runs: ownRuns } = routes[index]
         if (rate * runTimeMs / Math.max(1, ownRuns) >= threshold) neededByRoute.get(route)?.push(callee)
       }
     }
   }
   return {
-    recordStart (route) {
+    recordStart (route, rank) {
       const activity = activityOf(route)
       updateActivity(activity)
       activity.running++
+      activity.runningByRank.set(rank, (activity.runningByRank.get(rank) ?? 0) + 1)
       activity.runs++
     },
-    recordEnd (route) {
+    recordEnd (route, rank) {
       const activity = activityOf(route)
       updateActivity(activity)
       activity.running = Math.max(0, activity.running - 1)
+      const left = (activity.runningByRank.get(rank) ?? 0) - 1
+      if (left > 0) activity.runningByRank.set(rank, left)
+      else activity.runningByRank.delete(rank)
     },
     recordCall (callee) {
       const calls = callees.get(callee) ?? { samples: [], count: 0, updatedAt: clock.now() }
@@ -153,6 +190,12 @@
     neededCallees (route) {
       if (clock.now() - estimatedAt >= estimateLifeMs) updateEstimate()
       return neededByRoute.get(route) ?? []
+    },
+    drawRank (callee, random) {
+      if (clock.now() - estimatedAt >= estimateLifeMs) updateEstimate()
+      const rates = ratesByCallee.get(callee)
+      const drawn = rates && drawRunningRank(routes, (index) => rates[index] ?? 0, random)
+      return drawn ?? drawRunningRank(routes, () => 1, random)
     }
   }
 }
--- a/src/core/node/entry.ts
+++ b/src/core/node/entry.ts
@@ -35,11 +35,13 @@
   }
 }
 
-function createCall (arrival: Arrival, { bytes, digest }: ReadBody, route: EffectiveRoute, inProgress: boolean, dialect: Dialect): Call {
+/** Creates the call of a request. `rank` is the priority of the caller's request to which it belongs, where it is a call in progress. */
+function createCall (arrival: Arrival, { bytes, digest }: ReadBody, route: EffectiveRoute, rank: number | undefined, dialect: Dialect): Call {
   const { identity, parameters, method, path, idempotencyKey, request, callerRequest, arrivedAt } = arrival
   const workspace = route.open ? null : identity?.workspace ?? null
   const chain = randomId()
   const timeoutMs = requestTimeoutMs(route, callerRequest)
+  const inProgress = rank !== undefined
   return {
     context: {
       attempt: chain,
@@ -51,7 +53,7 @@
       route: route.name,
       service: route.service,
       priority: inProgress ? inProgressPriority : route.priority,
-      rank: route.priority,
+      rank: rank ?? route.priority,
       weight: parameters.weight,
       idempotent: route.idempotent,
       needsClaim: !route.idempotent && !dialect.singleEntry,
@@ -108,7 +110,8 @@
   }
   invariant(arrival.route !== undefined && arrival.body !== undefined, 'the filters passed a request without a route or a body')
   const inProgress = isCallInProgress(arrival, context)
-  const call = createCall(arrival, arrival.body, arrival.route, inProgress, dialect)
+  const rank = inProgress ? context.estimateRank(arrival.route) : undefined
+  const call = createCall(arrival, arrival.body, arrival.route, rank, dialect)
   call.isExpectedRetry = !inProgress && context.refusals.matchExpectedRetry(call.context.fingerprint)
   if (inProgress) context.dependencies.recordCall(calleeKey(call.context))
   if (response.destroyed) call.cancellation.cancel()
@@ -121,7 +124,10 @@
   })
   if (!context.recordBegun(response)) return refundRate(arrival, context)
   const budget = createBudget(call.context.budget)
-  const outcome = await context.callSender.send(call, budget, sink)
+  if (inProgress) context.gate.callStarted()
+  const outcome = await context.callSender.send(call, budget, sink).finally(() => {
+    if (inProgress) context.gate.callEnded()
+  })
   if (outcome.type === 'refused') refundRate(arrival, context)
   metrics.time('call', clock.now() - arrivedAt)
   metrics.count(`calls_total{outcome="${outcome.type}"}`)
--- a/src/core/node/filters.ts
+++ b/src/core/node/filters.ts
@@ -12,6 +12,7 @@
 import type { Decisions } from './decisions.ts'
 import type { Dependencies } from './dependencies.ts'
 import type { CallerRequest, Dialect } from './dialect.ts'
+import type { Gate } from './gate.ts'
 import { containsKey } from './headers.ts'
 import type { Directory, Identity } from './identity.ts'
 import type { Refusals } from './refusals.ts'
@@ -54,6 +55,10 @@
   findKeyFailure: KeyCheck
   /** Returns false for a request that this node no longer begins because it stops. */
   mayBegin: (request: StoppingRequest) => boolean
+  /** Returns the rank of the request for which the node's own target calls a route; targets do not name it. */
+  estimateRank: (route: EffectiveRoute) => number
+  /** Gate of the node's own target, which learns of the calls that the target has under way. */
+  gate: Pick<Gate, 'callStarted' | 'callEnded'>
   /** Returns true while the node's own target works on a request. */
   isTargetWorking: () => boolean
   /** Records that a request was passed on and may run from now on. Returns false for one that has been answered meanwhile. */
--- a/src/core/node/gate.ts
+++ b/src/core/node/gate.ts
@@ -1,4 +1,4 @@
-import { createAdmission, createAdmissionFraction, finish, loadOf, nextSweepAt, offer, recordInProgressWait, recordInProgressRefusal, updateAdmissionFraction, sweepAdmission, removeWaiting } from '../admission/index.ts'
+import { createAdmission, createAdmissionFraction, finish, loadOf, nextSweepAt, offer, recordInProgressWait, recordInProgressRefusal, slotsForWorking, updateAdmissionFraction, sweepAdmission, removeWaiting, waitingSlots } from '../admission/index.ts'
 import type { Admission, AdmissionDecision, QueuedRequest, FinishedRequest, ShedReason } from '../admission/index.ts'
 import type { Clock } from '../clock/index.ts'
 import { inProgressPriority, maxSweepMs, minSweepMs } from './constants.ts'
@@ -9,8 +9,16 @@
 /** Applies the admission decisions for the node's own target. */
 export interface Gate {
   enter: (entry: QueuedRequest) => Promise<Admittance> | Admittance
-  /** Releases the slot of a request. `sample` is missing when the request never reached the target. */
-  exit: (sample: FinishedRequest | undefined) => void
+  /** Releases the slot of a request. `sample` is missing when the request never reached the target, `id` names one that was entered with `needsCalls`. */
+  exit: (sample: FinishedRequest | undefined, id?: string) => void
+  /** Records that a request at the target has begun a call of its own. */
+  callStarted: () => void
+  /** Records that such a call has ended. */
+  callEnded: () => void
+  /** Returns the slots that are held by requests which wait for their own calls; 0 where requests do not wait by rank. */
+  waitingSlots: () => number
+  /** Returns the slots that only requests without calls may take. */
+  reservedSlots: () => number
   /** Removes a waiting request whose caller cancelled it. */
   cancel: (id: string) => void
   /** Removes all waiting requests, because the node stops, and returns their number. */
@@ -32,9 +40,9 @@
   close: () => void
 }
 
-/** Creates the gate of a target with `slots`. An adaptive limit may stay below the slots. */
-export function createGate (slots: number, clock: Clock, isAdaptive: boolean): Gate {
-  let admission: Admission = createAdmission(slots, clock.now(), isAdaptive)
+/** Creates the gate of a target with `slots`. An adaptive limit may stay below the slots. With `isRanked`, requests wait by the rank of their caller's request. */
+export function createGate (slots: number, clock: Clock, isAdaptive: boolean, isRanked = false): Gate {
+  let admission: Admission = createAdmission(slots, clock.now(), isAdaptive, isRanked)
   const newRequestFraction = createAdmissionFraction(clock.now())
   const inProgressFraction = createAdmissionFraction(clock.now())
   const waiting = new Map<string, { entry: QueuedRequest, resolve: (admittance: Admittance) => void }>()
@@ -84,9 +92,17 @@
       if (result !== undefined) return result
       return new Promise((resolve) => waiting.set(entry.id, { entry, resolve }))
     },
-    exit (sample) {
-      applyDecision(finish(admission, sample, clock.now()))
+    exit (sample, id) {
+      applyDecision(finish(admission, sample, clock.now(), id))
     },
+    callStarted () {
+      if (admission.ranked !== undefined) admission.ranked.held.callsUnderWay++
+    },
+    callEnded () {
+      if (admission.ranked !== undefined) admission.ranked.held.callsUnderWay--
+    },
+    waitingSlots: () => admission.ranked === undefined ? 0 : waitingSlots(admission.ranked.held),
+    reservedSlots: () => admission.ranked === undefined ? 0 : slotsForWorking(admission.ranked.held, Math.floor(admission.limit.value), clock.now()),
     cancel (id) {
       if (removeWaiting(admission, id)) resolveWaiting(id, { type: 'shed', reason: 'cancelled' })
     },
@@ -108,7 +124,7 @@
     },
     reset (next) {
       const fresh = createAdmission(next, clock.now(), isAdaptive)
-      admission = { ...fresh, running: admission.running, queue: admission.queue }
+      admission = { ...fresh, running: admission.running, queue: admission.queue, ranked: admission.ranked }
       sweep()
     },
     resize (next) {
--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -4,6 +4,7 @@
 import { createClaimClient } from '../claims/client.ts'
 import { createReportedFractions } from '../admission/index.ts'
 import type { Hash } from '../claims/index.ts'
+import type { EffectiveRoute } from '../config/index.ts'
 import { serveClaims } from '../claims/service.ts'
 import { closeServer, listen } from '../http/index.ts'
 import { createRequestLog } from '../log/index.ts'
@@ -42,6 +43,7 @@
 import { beginsDuring, endStop } from './stop.ts'
 import type { Stop, StoppingRequest } from './stop.ts'
 import { createOwnTarget } from './target.ts'
+import { calleeKey } from './types.ts'
 
 const stopPollMs = 20
 const handoverTimeoutMs = 5000
@@ -105,10 +107,10 @@
 /** Starts a node. */
 export async function startNode (options: NodeOptions, environment: Environment, hash: Hash): Promise<Node> {
   const { clock, log, metrics, random } = environment
-  const { id, domain, peer: address, seeds, secrets, dialect = defaultDialect, strictKeys = true, drainMs = Infinity, adaptiveLimit = true } = options
+  const { id, domain, peer: address, seeds, secrets, dialect = defaultDialect, strictKeys = true, drainMs = Infinity, adaptiveLimit = true, rankedWaiting = true } = options
   const keepAliveMs = options.keepAliveMs ?? callerKeepAliveMs
   const peers = await createPeers({ id, boot: randomId(), role: 'node', domain, address, seeds, secrets }, environment)
-  const target = createOwnTarget(peers, environment, { drainMs, adaptiveLimit })
+  const target = createOwnTarget(peers, environment, { drainMs, adaptiveLimit, rankedWaiting })
   const spans = createSpans()
   const dependencies = createDependencies(clock)
   const reportedFractions = createReportedFractions()
@@ -142,8 +144,10 @@
     return true
   }
   const isTargetWorking = () => server.running() > 0
-  const entryContext = { dialect, dependencies, peers, directory, rates, callSender, refusals, bodyBudget, findKeyFailure, mayBegin, isTargetWorking, recordBegun, decisions, environment }
-  const outgoingContext = { dialect, dependencies, findKeyFailure, peers, directory, spans, callSender, refusals, bodyBudget, mayBegin, recordBegun, decisions, environment }
+  const estimateRank = ({ service, name: route, priority }: EffectiveRoute) => (rankedWaiting ? dependencies.drawRank(calleeKey({ service, route }), random) : undefined) ?? priority
+  const { gate } = target
+  const entryContext = { dialect, dependencies, estimateRank, gate, peers, directory, rates, callSender, refusals, bodyBudget, findKeyFailure, mayBegin, isTargetWorking, recordBegun, decisions, environment }
+  const outgoingContext = { dialect, dependencies, gate, findKeyFailure, peers, directory, spans, callSender, refusals, bodyBudget, mayBegin, recordBegun, decisions, environment }
   const backlog = createBacklog(clock)
   const running = createRunningRequests(clock)
 
@@ -202,6 +206,8 @@
   metrics.gauge('bodies_held_bytes', bodyBudget.usedBytes)
   metrics.gauge('running', () => target.gate.running())
   metrics.gauge('limit', () => target.gate.limit())
+  metrics.gauge('slots_waiting', gate.waitingSlots)
+  metrics.gauge('slots_reserved', gate.reservedSlots)
   log.info('node started', { id, domain, listen: listenAddress, peer: peers.address, local: localAddress })
 
   /** Reports to the leader which configuration revision this node applies, for `status`. */
--- a/src/core/node/outgoing.ts
+++ b/src/core/node/outgoing.ts
@@ -12,6 +12,7 @@
 import type { Decisions } from './decisions.ts'
 import type { Dependencies } from './dependencies.ts'
 import type { Dialect } from './dialect.ts'
+import type { Gate } from './gate.ts'
 import { headerOf } from './headers.ts'
 import type { Directory } from './identity.ts'
 import type { Refusals } from './refusals.ts'
@@ -33,6 +34,8 @@
   callSender: CallSender
   dependencies: Dependencies
   refusals: Refusals
+  /** Gate of the node's own target, which learns of the requests that wait for calls. */
+  gate: Pick<Gate, 'callStarted' | 'callEnded'>
   bodyBudget: BodyBudget
   /** Returns false for a call that this node no longer begins because it stops. */
   mayBegin: (call: StoppingRequest) => boolean
@@ -120,8 +123,11 @@
   })
   context.dependencies.recordCall(calleeKey(outgoingCall.context))
   recordOutgoingStart(span, clock.now())
-  const outcome = await context.callSender.send(outgoingCall, span.budget, sink)
-  recordOutgoingEnd(span, clock.now())
+  if (span.outgoingRunning === 1) context.gate.callStarted()
+  const outcome = await context.callSender.send(outgoingCall, span.budget, sink).finally(() => {
+    recordOutgoingEnd(span, clock.now())
+    if (span.outgoingRunning === 0) context.gate.callEnded()
+  })
   stopListening()
   if (outcome.report.shed) span.shed = true
   context.decisions.endRequest(outgoingCall, { outcome, extraAttempts: 0, startedAt })
--- a/src/core/node/serve.ts
+++ b/src/core/node/serve.ts
@@ -5,8 +5,9 @@
 import { fail } from '../errors/index.ts'
 import type { Failure } from '../errors/index.ts'
 import type { Environment, Peers } from '../peers/index.ts'
-import { reportedFractionOf } from '../admission/index.ts'
-import type { ReportedFractions } from '../admission/index.ts'
+import { groupOf, rankOf, reportedFractionOf } from '../admission/index.ts'
+import type { QueuedRequest, ReportedFractions } from '../admission/index.ts'
+import { inProgressPriority } from './constants.ts'
 import type { CrashReporter } from './crashes.ts'
 import type { Decisions } from './decisions.ts'
 import { sendExchange } from './exchange.ts'
@@ -27,6 +28,9 @@
 import { callEndOf, emptyReport, firstErrorStatus } from './types.ts'
 import type { AttemptOutcome, Call, CallContext, Report, Sink } from './types.ts'
 
+/** Highest rank with a label of its own in the metrics; it includes those above. */
+const highestRankLabel = 9
+
 /** Status of a target that is not the intended one (misdirected request). */
 const misdirectedStatus = 421
 
@@ -76,6 +80,29 @@
   return reason === 'stopping' ? fail('leaving') : fail('overloaded', { service, reason })
 }
 
+/** Creates what waits before the target for a call that arrived at `arrivedAt`. */
+function createQueuedRequest ({ context, deadlineAt }: Call, arrivedAt: number, dependencies: Dependencies): QueuedRequest {
+  const { attempt, route, priority, rank, workspace, weight, waitMs, depth } = context
+  return {
+    id: attempt,
+    kind: route,
+    priority,
+    rank,
+    inProgress: priority <= inProgressPriority || depth > 0,
+    needsCalls: dependencies.neededCallees(route).length > 0,
+    workspace: workspace ?? '',
+    weight,
+    arrivedAt,
+    deadlineAt,
+    maxWaitMs: waitMs
+  }
+}
+
+/** Returns the counter of requests that waited or were shed, by what they are. */
+function waitedMetric (entry: QueuedRequest, { type }: Admittance): string {
+  return `waited_total{outcome="${type}",group="${groupOf(entry)}",rank="${Math.min(highestRankLabel, rankOf(entry))}"}`
+}
+
 /** Creates the part of a node that serves calls with its own target. */
 export function createCallServer (context: ServeContext): CallServer {
   const { dialect, findKeyFailure, mayBegin, peers, target, claims, crashes, spans, dependencies, reportedFractions, decisions, environment } = context
@@ -150,14 +177,16 @@
   }
 
   const admit = async (call: Call, sink: Sink): Promise<AttemptOutcome> => {
-    const { attempt, priority, workspace, weight, service } = call.context
+    const { attempt, priority, service } = call.context
     const { gate } = target
     const arrivedAt = clock.now()
-    const entering = gate.enter({ id: attempt, kind: call.context.route, priority, workspace: workspace ?? '', weight, arrivedAt, deadlineAt: call.deadlineAt, maxWaitMs: call.context.waitMs })
+    const entry = createQueuedRequest(call, arrivedAt, dependencies)
+    const entering = gate.enter(entry)
     const stopListening = call.cancellation.listen(() => gate.cancel(attempt))
     const admittance = entering instanceof Promise ? await entering : entering
     stopListening()
     metrics.time('queue', clock.now() - arrivedAt)
+    if (entering instanceof Promise || admittance.type === 'shed') metrics.count(waitedMetric(entry, admittance))
     if (admittance.type === 'shed') {
       metrics.count(`shed_total{reason="${admittance.reason}",priority="${priority}"}`)
       const isTooLate = admittance.reason === 'too-late'
@@ -167,7 +196,7 @@
     }
     const refusal = call.cancellation.cancelled ? { failure: fail('deadline', { stage: 'while the request waited' }), elsewhere: false } : findRefusal(call)
     if (refusal !== undefined) {
-      gate.exit(undefined)
+      gate.exit(undefined, attempt)
       return refuse(call, refusal)
     }
     return call.context.needsClaim ? await claimAndRun(call, sink) : await run(call, sink, undefined)
@@ -181,10 +210,10 @@
       const refusal = findRefusal(call)
       if (refusal === undefined) return await run(call, sink, claimed.claim)
       claims.release(claimed.claim)
-      target.gate.exit(undefined)
+      target.gate.exit(undefined, attempt)
       return refuse(call, refusal)
     }
-    target.gate.exit(undefined)
+    target.gate.exit(undefined, attempt)
     metrics.count(`claims_refused_total{reason="${claimed.type}"}`)
     decisions.refuseClaim(call, claimed)
     switch (claimed.type) {
@@ -218,12 +247,12 @@
     let status = 0
     let answerHeaders: string[] = []
     running++
-    dependencies.recordStart(call.context.route)
+    dependencies.recordStart(call.context.route, call.context.rank)
     const closeRun = (sample: { failed: boolean } | undefined) => {
       running--
-      dependencies.recordEnd(call.context.route)
+      dependencies.recordEnd(call.context.route, call.context.rank)
       const latencyMs = clock.now() - startedAt - span.outgoingMs
-      target.gate.exit(sample && { kind: call.context.route, latencyMs, failed: sample.failed })
+      target.gate.exit(sample && { kind: call.context.route, latencyMs, failed: sample.failed }, call.context.attempt)
       spans.close(span)
       metrics.time('target', clock.now() - startedAt)
     }
--- a/test/node/dependencies.test.ts
+++ b/test/node/dependencies.test.ts
@@ -6,9 +6,10 @@
 
 const stepMs = 5
 
-/** Load of one route: requests per second, duration of a request, and calls in each request. */
+/** Load of one route: rank of its requests, by default 0, requests per second, duration of a request, and calls in each request. */
 interface Load {
   route: string
+  rank?: number
   perSecond: number
   runMs: number
   calls: Array<{ callee: string, count: number }>
@@ -19,13 +20,13 @@
   const random = createRandom(5)
   const dependencies = createDependencies({ now: () => now, date: () => new Date(now) })
   let due: Array<{ at: number, run: () => void }> = []
-  const start = ({ route, runMs, calls }: Load) => {
-    dependencies.recordStart(route)
+  const start = ({ route, rank = 0, runMs, calls }: Load) => {
+    dependencies.recordStart(route, rank)
     const length = runMs * (0.5 + random.next())
     for (const { callee, count } of calls) {
       for (let index = 0; index < count; index++) due.push({ at: now + length * (index + 1) / (count + 1), run: () => dependencies.recordCall(callee) })
     }
-    due.push({ at: now + length, run: () => dependencies.recordEnd(route) })
+    due.push({ at: now + length, run: () => dependencies.recordEnd(route, rank) })
   }
   for (; now < seconds * 1000; now += stepMs) {
     for (const { run } of due.filter(({ at }) => at <= now)) run()
@@ -58,3 +59,24 @@
   assert.deepEqual(dependencies.neededCallees('a'), [])
   assert.deepEqual(dependencies.neededCallees('unknown'), [])
 })
+
+test('the rank of a call is drawn from the routes that make it', () => {
+  const dependencies = simulate([
+    { route: 'direct', rank: 0, perSecond: 60, runMs: 100, calls: [] },
+    { route: 'reading', rank: 2, perSecond: 20, runMs: 100, calls: [{ callee: 'x/1', count: 4 }] }
+  ], 20)
+  const random = createRandom(7)
+  const ranks = Array.from({ length: 500 }, () => dependencies.drawRank('x/1', random))
+  assert.ok(ranks.filter((rank) => rank === 2).length > 450, String(ranks.filter((rank) => rank === 2).length))
+})
+
+test('a callee about which nothing is known gets the rank of any running request, and none when nothing runs', () => {
+  const dependencies = createDependencies({ now: () => 0, date: () => new Date(0) })
+  const random = createRandom(7)
+  assert.equal(dependencies.drawRank('x/1', random), undefined)
+  for (const rank of [1, 3, 3, 3]) dependencies.recordStart('a', rank)
+  const thirds = Array.from({ length: 400 }, () => dependencies.drawRank('x/1', random)).filter((rank) => rank === 3).length
+  assert.ok(Math.abs(thirds - 300) < 40, String(thirds))
+  dependencies.recordEnd('a', 1)
+  assert.equal(dependencies.drawRank('x/1', random), 3)
+})
