--- a/src/core/admission/queue.ts
+++ b/src/core/admission/queue.ts
@@ -1,8 +1,8 @@
 import { normalWaitMs, minQueue, overloadAfterMs, overloadWaitMs, queuePerSlot, typicalTimeWeight } from './constants.ts'
 import { createFixedLimit, createLimit, recordSample } from './limit.ts'
 import type { ConcurrencyLimit, Sample } from './limit.ts'
-import { recordArrival, recordHolder, releaseHolder } from './held-slots.ts'
-import { createRankedWaiting, findLast, takeNext } from './ranked.ts'
+import { recordHolder, releaseHolder } from './held-slots.ts'
+import { createRankedWaiting, findLast, recordRankedArrival, takeNext } from './ranked.ts'
 import type { RankedWaiting } from './ranked.ts'
 
 /** A request that is to run at a target. */
@@ -77,7 +77,7 @@
     return decision
   }
   if (admission.queue.length === 0) admission.emptyAt = now
-  if (admission.ranked !== undefined) recordArrival(admission.ranked.held, entry, now)
+  if (admission.ranked !== undefined) recordRankedArrival(admission.ranked, admission.queue, entry, now)
   admission.queue.push(entry)
   startNext(admission, now, decision)
   const capacity = Math.max(minQueue, Math.ceil(admission.limit.value * queuePerSlot))
@@ -186,8 +186,7 @@
 function nextIndex (admission: Admission, now: number): number {
   const { ranked, queue, limit } = admission
   if (ranked === undefined) return bestIndex(admission, now)
-  const newestFirst = isOverloaded(admission, now)
-  const goesFirst = (left: QueuedRequest, right: QueuedRequest) => isBetter(admission, left, right, newestFirst)
+  const goesFirst = (left: QueuedRequest, right: QueuedRequest, newestFirst: boolean) => isBetter(admission, left, right, newestFirst)
   return takeNext(ranked, { queue, slots: Math.floor(limit.value), goesFirst }, now)
 }
 
--- a/src/core/admission/ranked.ts
+++ b/src/core/admission/ranked.ts
@@ -1,5 +1,5 @@
-import { maxPassedOver, maxPassedOverByBetter, reservedPlaces } from './constants.ts'
-import { createHeldSlots, mayTakeSlot } from './held-slots.ts'
+import { maxPassedOver, maxPassedOverByBetter, overloadAfterMs, reservedPlaces } from './constants.ts'
+import { createHeldSlots, mayTakeSlot, recordArrival } from './held-slots.ts'
 import type { HeldSlots } from './held-slots.ts'
 import { groupOf, rankOf } from './rank.ts'
 import type { Group } from './rank.ts'
@@ -9,6 +9,8 @@
 export interface RankedWaiting {
   /** Starts of the other group since the last start of each group, up to the most that matters. */
   passedOver: Record<Group, number>
+  /** Time since which each group has had requests waiting, in ms. */
+  waitingSince: Record<Group, number>
   held: HeldSlots
 }
 
@@ -18,12 +20,19 @@
   /** Slots of the target. */
   slots: number
   /** Returns true when the first of two requests of the same rank and group goes before the second. */
-  goesFirst: (left: QueuedRequest, right: QueuedRequest) => boolean
+  goesFirst: (left: QueuedRequest, right: QueuedRequest, newestFirst: boolean) => boolean
 }
 
 /** Creates the state of an empty queue. */
 export function createRankedWaiting (): RankedWaiting {
-  return { passedOver: { 'in-progress': 0, new: 0 }, held: createHeldSlots() }
+  return { passedOver: { 'in-progress': 0, new: 0 }, waitingSince: { 'in-progress': 0, new: 0 }, held: createHeldSlots() }
+}
+
+/** Records that a request has arrived behind the queue. */
+export function recordRankedArrival (ranked: RankedWaiting, queue: readonly QueuedRequest[], entry: QueuedRequest, now: number): void {
+  const group = groupOf(entry)
+  if (!queue.some((other) => groupOf(other) === group)) ranked.waitingSince[group] = now
+  recordArrival(ranked.held, entry, now)
 }
 
 /**
@@ -31,7 +40,7 @@
  * requests. A group that was passed over too often goes first, so that neither waits in vain.
  */
 export function takeNext (ranked: RankedWaiting, line: WaitingLine, now: number): number {
-  const first = firstByGroup(ranked.held, line, now)
+  const first = firstByGroup(ranked, line, now)
   const group = nextGroup(ranked.passedOver, line.queue[first['in-progress']], line.queue[first.new])
   if (group === undefined) return -1
   const other = otherGroup(group)
@@ -44,20 +53,21 @@
   return group === 'new' ? 'in-progress' : 'new'
 }
 
-/** Returns the index of the first request of each group that may start, or -1. */
-function firstByGroup (held: HeldSlots, { queue, slots, goesFirst }: WaitingLine, now: number): Record<Group, number> {
+/** Returns the index of the first request of each group that may start, or -1. A group that has waited for long lets its newest requests go first. */
+function firstByGroup ({ held, waitingSince }: RankedWaiting, { queue, slots, goesFirst }: WaitingLine, now: number): Record<Group, number> {
   const first: Record<Group, number> = { 'in-progress': -1, new: -1 }
   for (const [index, entry] of queue.entries()) {
     const group = groupOf(entry)
     const known = queue[first[group]]
-    if (known !== undefined && !precedes(entry, known, goesFirst)) continue
+    const newestFirst = now - waitingSince[group] > overloadAfterMs
+    if (known !== undefined && !precedes(entry, known, newestFirst, goesFirst)) continue
     if (mayTakeSlot(held, entry, slots, now)) first[group] = index
   }
   return first
 }
 
-function precedes (left: QueuedRequest, right: QueuedRequest, goesFirst: WaitingLine['goesFirst']): boolean {
-  return rankOf(left) === rankOf(right) ? goesFirst(left, right) : rankOf(left) < rankOf(right)
+function precedes (left: QueuedRequest, right: QueuedRequest, newestFirst: boolean, goesFirst: WaitingLine['goesFirst']): boolean {
+  return rankOf(left) === rankOf(right) ? goesFirst(left, right, newestFirst) : rankOf(left) < rankOf(right)
 }
 
 function nextGroup (passedOver: Record<Group, number>, call: QueuedRequest | undefined, request: QueuedRequest | undefined): Group | undefined {
