--- a/src/core/admission/held-slots.ts
+++ b/src/core/admission/held-slots.ts
@@ -55,16 +55,17 @@
   return isMostlyWaiting(held) && now - held.workingSeenAt < reserveLifeMs ? Math.floor(slots * workingReserve) : 0
 }
 
-/** Returns true when a request may take a free slot. Requests that make calls are kept out of the reserved slots, all others may take any. */
-export function mayTakeSlot (held: HeldSlots, entry: QueuedRequest, slots: number, now: number): boolean {
-  if (entry.needsCalls !== true) return true
-  return held.holders.size < slots - slotsForWorking(held, slots, now) - slotsForBetter(held, entry, slots, now)
+/** Returns whether requests may take a free slot now. Those that make calls are kept out of the reserved slots, all others may take any. */
+export function createSlotCheck (held: HeldSlots, slots: number, now: number): (entry: QueuedRequest) => boolean {
+  const worst = worstRank(held)
+  const free = slots - slotsForWorking(held, slots, now) - held.holders.size
+  const freeForWorst = free - slotsForBetter(held, slots, now)
+  return (entry) => entry.needsCalls !== true || (rankOf(entry) < worst ? free : freeForWorst) > 0
 }
 
-/** Returns the slots that are kept for requests of a better rank than that of the given one. */
-function slotsForBetter (held: HeldSlots, entry: QueuedRequest, slots: number, now: number): number {
-  if (!isMostlyWaiting(held) || now - held.betterSeenAt >= reserveLifeMs || rankOf(entry) < worstRank(held)) return 0
-  return Math.floor(slots * rankReserve)
+/** Returns the slots that requests of the worst rank leave to better ones. */
+function slotsForBetter (held: HeldSlots, slots: number, now: number): number {
+  return isMostlyWaiting(held) && now - held.betterSeenAt < reserveLifeMs ? Math.floor(slots * rankReserve) : 0
 }
 
 /** Returns false when the target mostly works. It has no idle room then, and rank alone decides who starts. */
--- a/src/core/admission/queue.ts
+++ b/src/core/admission/queue.ts
@@ -202,9 +202,11 @@
 
 function isBetter (admission: Admission, left: QueuedRequest, right: QueuedRequest, newestFirst: boolean): boolean {
   if (left.priority !== right.priority) return left.priority < right.priority
-  const leftTime = finishTime(admission, left.workspace)
-  const rightTime = finishTime(admission, right.workspace)
-  if (left.workspace !== right.workspace && leftTime !== rightTime) return leftTime < rightTime
+  if (left.workspace !== right.workspace) {
+    const leftTime = finishTime(admission, left.workspace)
+    const rightTime = finishTime(admission, right.workspace)
+    if (leftTime !== rightTime) return leftTime < rightTime
+  }
   return newestFirst ? left.arrivedAt > right.arrivedAt : left.arrivedAt < right.arrivedAt
 }
 
--- a/src/core/admission/ranked.ts
+++ b/src/core/admission/ranked.ts
@@ -1,5 +1,5 @@
 import { maxPassedOver, maxPassedOverByBetter, overloadAfterMs, reservedPlaces } from './constants.ts'
-import { createHeldSlots, mayTakeSlot, recordArrival } from './held-slots.ts'
+import { createHeldSlots, createSlotCheck, recordArrival } from './held-slots.ts'
 import type { HeldSlots } from './held-slots.ts'
 import { groupOf, rankOf } from './rank.ts'
 import type { Group } from './rank.ts'
@@ -56,12 +56,13 @@
 /** Returns the index of the first request of each group that may start, or -1. A group that has waited for long lets its newest requests go first. */
 function firstByGroup ({ held, waitingSince }: RankedWaiting, { queue, slots, goesFirst }: WaitingLine, now: number): Record<Group, number> {
   const first: Record<Group, number> = { 'in-progress': -1, new: -1 }
-  for (const [index, entry] of queue.entries()) {
+  const mayTake = createSlotCheck(held, slots, now)
+  for (let index = 0; index < queue.length; index++) {
+    const entry = queue[index]
     const group = groupOf(entry)
-    const known = queue[first[group]]
-    const newestFirst = now - waitingSince[group] > overloadAfterMs
-    if (known !== undefined && !precedes(entry, known, newestFirst, goesFirst)) continue
-    if (mayTakeSlot(held, entry, slots, now)) first[group] = index
+    const known = first[group]
+    if (known >= 0 && !precedes(entry, queue[known], now - waitingSince[group] > overloadAfterMs, goesFirst)) continue
+    if (mayTake(entry)) first[group] = index
   }
   return first
 }
--- /dev/null
+++ b/test/node/ranked-gate.test.ts
@@ -0,0 +1,70 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { createGate } from '../../src/core/node/gate.ts'
+
+let now = 0
+const clock = { now: () => now, date: () => new Date(now) }
+const slots = 20
+
+/** Enters a request that makes calls, or one that needs its target only. */
+function enter (gate: ReturnType<typeof createGate>, id: string, needsCalls: boolean, rank = 2) {
+  return gate.enter({ id, kind: 'r', priority: -1, rank, needsCalls, workspace: '', weight: 1, arrivedAt: now, deadlineAt: now + 60_000 })
+}
+
+test('requests that wait for their calls leave slots to those that need the target only, until they end', async () => {
+  const gate = createGate(slots, clock, false, true)
+  await enter(gate, 'first', false, 0)
+  gate.exit(undefined, 'first')
+  for (let count = 0; count < 17; count++) {
+    assert.deepEqual(enter(gate, `holder ${count}`, true), { type: 'started' })
+    gate.callStarted()
+  }
+  assert.deepEqual([gate.waitingSlots(), gate.reservedSlots()], [17, 3])
+  const kept = enter(gate, 'kept waiting', true)
+  assert.ok(kept instanceof Promise)
+  for (let count = 0; count < 3; count++) assert.deepEqual(enter(gate, `direct ${count}`, false, 0), { type: 'started' })
+  gate.exit(undefined, 'direct 0')
+  gate.callEnded()
+  gate.exit(undefined, 'holder 0')
+  assert.deepEqual(await kept, { type: 'started' })
+  assert.equal(gate.running(), slots - 1)
+  gate.close()
+})
+
+test('slots held by waiting requests are still known after another process of the target has started', () => {
+  const gate = createGate(slots, clock, false, true)
+  for (let count = 0; count < 4; count++) void enter(gate, `holder ${count}`, true)
+  for (let count = 0; count < 4; count++) gate.callStarted()
+  gate.reset(slots)
+  assert.equal(gate.waitingSlots(), 4)
+  for (let count = 0; count < 4; count++) gate.callEnded()
+  for (let count = 0; count < 4; count++) gate.exit(undefined, `holder ${count}`)
+  assert.deepEqual([gate.waitingSlots(), gate.running()], [0, 0])
+  gate.close()
+})
+
+test('slots stay reserved only while requests come that can use them', () => {
+  now = 0
+  const gate = createGate(slots, clock, false, true)
+  void enter(gate, 'direct', false, 0)
+  gate.exit(undefined, 'direct')
+  for (let count = 0; count < 17; count++) {
+    void enter(gate, `holder ${count}`, true)
+    gate.callStarted()
+  }
+  assert.equal(gate.reservedSlots(), 3)
+  now = 10_000
+  assert.equal(gate.reservedSlots(), 0)
+  assert.deepEqual(enter(gate, 'last', true), { type: 'started' })
+  gate.close()
+})
+
+test('a gate without ranks neither counts nor reserves', () => {
+  const gate = createGate(slots, clock, false)
+  for (let count = 0; count < slots; count++) {
+    assert.deepEqual(enter(gate, `holder ${count}`, true), { type: 'started' })
+    gate.callStarted()
+  }
+  assert.deepEqual([gate.waitingSlots(), gate.reservedSlots()], [0, 0])
+  gate.close()
+})
