New requests are not refused for calls in progress that would wait behind them

Cause: the admission fraction of a target falls with the wait of every call in progress. Where requests wait by rank, calls of a high rank wait for direct requests by intent, and calls that are kept out of reserved slots wait while the target is idle; both would refuse at the entry the requests for which the room was kept. Change: a fraction by rank of the new requests and by whether they make calls of their own; only waits of calls that go before them, and of calls without calls of their own for those without, reduce it. What is reported for calls in progress is as before.

--- a/src/core/node/gate.ts
+++ b/src/core/node/gate.ts
@@ -1,4 +1,4 @@
-import { createAdmission, createAdmissionFraction, finish, loadOf, nextSweepAt, offer, recordInProgressWait, recordInProgressRefusal, slotsForWorking, updateAdmissionFraction, sweepAdmission, removeWaiting, waitingSlots } from '../admission/index.ts'
+import { createAdmission, createAdmissionFraction, createRankedFractions, finish, loadOf, nextSweepAt, offer, rankedFractionOf, recordInProgressWait, recordInProgressRefusal, recordRankedWait, slotsForWorking, updateAdmissionFraction, sweepAdmission, removeWaiting, waitingSlots } from '../admission/index.ts'
 import type { Admission, AdmissionDecision, QueuedRequest, FinishedRequest, ShedReason } from '../admission/index.ts'
 import type { Clock } from '../clock/index.ts'
 import { inProgressPriority, maxSweepMs, minSweepMs } from './constants.ts'
@@ -28,9 +28,10 @@
   limit: () => number
   /**
    * Returns the admission fraction, 0 to 1. For calls of requests in progress it also falls when the target
-   * refuses such calls, because a refused call fails the request that it belongs to.
+   * refuses such calls, because a refused call fails the request that it belongs to. Where requests wait by rank, that of new requests
+   * depends on whether they make calls of their own.
    */
-  admissionFraction: (priority: number) => number
+  admissionFraction: (priority: number, needsCalls?: boolean) => number
   /** Records that the target refused a request of this priority without running it. */
   recordRefusal: (priority: number) => void
   /** Resets the admission for a target that has just started. */
@@ -45,6 +46,7 @@
   let admission: Admission = createAdmission(slots, clock.now(), isAdaptive, isRanked)
   const newRequestFraction = createAdmissionFraction(clock.now())
   const inProgressFraction = createAdmissionFraction(clock.now())
+  const rankedFractions = isRanked ? createRankedFractions() : undefined
   const waiting = new Map<string, { entry: QueuedRequest, resolve: (admittance: Admittance) => void }>()
   let timer: NodeJS.Timeout | undefined
   /** Time for which the next sweep is scheduled, in ms. */
@@ -60,6 +62,7 @@
     if (entry.priority <= inProgressPriority) {
       const now = clock.now()
       for (const fraction of [newRequestFraction, inProgressFraction]) recordInProgressWait(fraction, now - entry.arrivedAt, now)
+      if (rankedFractions !== undefined) recordRankedWait(rankedFractions, entry, now - entry.arrivedAt, now)
     }
     waiting.delete(id)
     resolve(admittance)
@@ -114,7 +117,8 @@
     load: () => loadOf(admission),
     running: () => admission.running,
     limit: () => admission.limit.value,
-    admissionFraction (priority) {
+    admissionFraction (priority, needsCalls = true) {
+      if (rankedFractions !== undefined && priority > inProgressPriority) return rankedFractionOf(rankedFractions, priority, needsCalls, clock.now())
       const selected = priority <= inProgressPriority ? inProgressFraction : newRequestFraction
       updateAdmissionFraction(selected, clock.now())
       return selected.value
--- a/src/core/node/serve.ts
+++ b/src/core/node/serve.ts
@@ -117,7 +117,7 @@
   const admissionFraction = ({ route, priority }: CallContext): number => {
     const now = clock.now()
     const needed = dependencies.neededCallees(route).map((callee) => reportedFractionOf(reportedFractions, callee, now))
-    return Math.round(1000 * Math.min(target.gate.admissionFraction(priority), ...needed)) / 1000
+    return Math.round(1000 * Math.min(target.gate.admissionFraction(priority, needed.length > 0), ...needed)) / 1000
   }
   const createReport = (call: Call, span?: Span): Report => ({ used: span?.budget.used ?? 0, load: target.gate.load(), shed: span?.shed ?? false, share: admissionFraction(call.context) })
   const createRefusal = (call: Call, failure: Failure, elsewhere: boolean, arrived = false): AttemptOutcome => {
--- a/test/node/ranked-gate.test.ts
+++ b/test/node/ranked-gate.test.ts
@@ -59,6 +59,28 @@
   gate.close()
 })
 
+test('new requests are not refused for calls in progress of a higher rank, nor for calls that are kept out of reserved slots', () => {
+  now = 0
+  const gate = createGate(slots, clock, false, true)
+  const classes = [{ rank: 0, needsCalls: false }, { rank: 2, needsCalls: false }, { rank: 2, needsCalls: true }]
+  const fractions = () => classes.map(({ rank, needsCalls }) => gate.admissionFraction(rank, needsCalls))
+  assert.deepEqual(fractions(), [1, 1, 1])
+  const startsLate = (id: string, needsCalls: boolean, rank: number) => {
+    for (let count = gate.running(); count < slots; count++) void enter(gate, `${id} ${count}`, false)
+    assert.ok(enter(gate, id, needsCalls, rank) instanceof Promise)
+    now += 300
+    gate.exit(undefined)
+    now += 500
+  }
+  startsLate('chained', true, 2)
+  assert.deepEqual(fractions().map((fraction) => fraction < 1), [false, false, true])
+  startsLate('low', false, 2)
+  assert.deepEqual(fractions().map((fraction) => fraction < 1), [false, true, true])
+  startsLate('high', false, 0)
+  assert.deepEqual(fractions().map((fraction) => fraction < 1), [true, true, true])
+  gate.close()
+})
+
 test('a gate without ranks neither counts nor reserves', () => {
   const gate = createGate(slots, clock, false)
   for (let count = 0; count < slots; count++) {
