--- a/test/platform/request-log.test.ts
+++ b/test/platform/request-log.test.ts
@@ -141,7 +141,7 @@
   assertLine(machines, callee, 'target_failed', 'left', { cause: 'cancelled', written: true })
   assertLine(machines, caller, 'request_ended', 'left', { callerLeft: true, outcome: 'failed' })
   const sheds = linesOf(machines, callee).filter(({ event }) => event === 'call_shed')
-  assert.ok(sheds.length > 0 && sheds.every(({ id, limit, waitedMs, shedReason }) => answers.get(id ?? '') !== 200 && limit === 4 && Number(waitedMs) >= 0 && shedReason))
+  assert.ok(sheds.length > 0 && sheds.every(({ id, limit, rank, waitedMs, shedReason }) => answers.get(id ?? '') !== 200 && limit === 4 && rank === 0 && Number(waitedMs) >= 0 && shedReason))
   assert.equal(linesOf(machines, caller).filter(({ event }) => event === 'request_answered').length, 1, 'of good answers the first and then one of 500 are logged')
   const turned = explain(machines, 'turned')
   assert.match(turned, /^Decided by: target_refused at sidecar-2/m)
