--- a/test/platform/ranks.test.ts
+++ b/test/platform/ranks.test.ts
@@ -8,8 +8,8 @@
 /** Calls at once to a server with 4 slots and a queue of 8. */
 const callCount = 24
 
-/** Lets the server beside sidecar 1 work on one request of rank 3, overloads another server with calls from that machine, and returns the ranks of those shed. */
-async function ranksOfShedCalls (env: Record<string, string>): Promise<Set<unknown>> {
+/** Lets the server beside sidecar 1 work on one request of rank 3, overloads another server with calls from that machine, and returns the ranks of those shed, in the log and in the counters. */
+async function ranksOfShedCalls (env: Record<string, string>): Promise<{ shed: Set<string>, counted: Set<string> }> {
   const machines = await createMachines()
   const program: Program = { arguments: ['--import', 'tsx', join(import.meta.dirname, '../../platform/main.ts')], env }
   try {
@@ -31,7 +31,9 @@
     await eventually(async () => caller.received.length > 0)
     await Promise.all(Array.from({ length: callCount }, (_, index) => machines.sendFromMachine(1, '/open/x', { 'x-dogwoodspring-request-id': `c-${index}`, 'x-dogwoodspring-key': '' })))
     assert.equal((await running).status, 200)
-    return new Set(shedLines(machines).map(({ priority, rank }) => `${priority} ${rank}`))
+    const shed = new Set(shedLines(machines).map(({ priority, rank }) => `${priority} ${rank}`))
+    const metrics = await (await fetch(`http://${machines.sidecarIp(2)}:${machines.peerPort + 1}/metrics`)).text()
+    return { shed, counted: new Set([...metrics.matchAll(/^dogwoodspring_waited_total\{outcome="shed",(.*)\} [1-9]/gm)].map(([, labels]) => labels)) }
   } finally {
     await machines.stop()
   }
@@ -43,9 +45,9 @@
 }
 
 test('a call in progress bears the rank of the request that its machine works on', async () => {
-  assert.deepEqual(await ranksOfShedCalls({}), new Set(['-1 3']))
+  assert.deepEqual(await ranksOfShedCalls({}), { shed: new Set(['-1 3']), counted: new Set(['group="in-progress",rank="3"']) })
 })
 
 test('without ranked waiting a call in progress bears the priority of its own route', async () => {
-  assert.deepEqual(await ranksOfShedCalls({ DOGWOODSPRING_RANKED_WAITING: 'false' }), new Set(['-1 0']))
+  assert.deepEqual(await ranksOfShedCalls({ DOGWOODSPRING_RANKED_WAITING: 'false' }), { shed: new Set(['-1 0']), counted: new Set(['group="in-progress",rank="0"']) })
 })
