Slots are reserved for as many direct requests as lately came at once

Cause: one direct request in 5 s reserved 15% of the slots of a target whose requests mostly wait, whatever its rank. Where the slots themselves are short, requests of a better rank that make calls started that much less often for slots that nobody used. Change: the reserve is the most requests that needed the target only at once in the last 5 to 10 s, at most 15% as before.

--- a/src/core/admission/constants.ts
+++ b/src/core/admission/constants.ts
@@ -52,7 +52,7 @@
 /** Places of the queue that each group keeps, as a fraction of its capacity. */
 export const reservedPlaces = 0.25
 
-/** Fraction of the slots that requests with calls of their own leave to those without, while they mostly wait. */
+/** Largest fraction of the slots that requests with calls of their own leave to those without, while they mostly wait. */
 export const workingReserve = 0.15
 
 /** Further fraction of the slots that requests with calls leave to those of a better rank, while they mostly wait. */
@@ -61,5 +61,5 @@
 /** Fraction of the requests with calls from which they count as mostly waiting for these. */
 export const mostlyWaitingFraction = 0.5
 
-/** Time for which slots stay reserved after the last request that could use them, in milliseconds. */
+/** Time for which slots stay reserved after the last request that could use them, in milliseconds; up to twice as long for those without calls. */
 export const reserveLifeMs = 5000
--- a/src/core/admission/held-slots.ts
+++ b/src/core/admission/held-slots.ts
@@ -2,6 +2,13 @@
 import { rankOf } from './rank.ts'
 import type { QueuedRequest } from './queue.ts'
 
+/** Most requests that needed their target only, running and waiting at once, in the window that began at `windowAt` and in the one before. */
+interface WorkingPeaks {
+  windowAt: number
+  current: number
+  previous: number
+}
+
 /** Slots of a target that are held by running requests with calls of their own. While these wait for their calls the target is idle, but the slot is taken. */
 export interface HeldSlots {
   /** Ranks of the running requests that make calls, by id. */
@@ -10,23 +17,39 @@
   countByRank: Map<number, number>
   /** Calls that requests at the target have under way. */
   callsUnderWay: number
-  /** Last arrival of a request that needs its target only, in ms. */
-  workingSeenAt: number
+  workingPeaks: WorkingPeaks
   /** Last arrival of a request that makes calls and has a better rank than one that runs, in ms. */
   betterSeenAt: number
 }
 
 /** Creates the state of a target at which nothing runs. */
 export function createHeldSlots (): HeldSlots {
-  return { holders: new Map(), countByRank: new Map(), callsUnderWay: 0, workingSeenAt: -Infinity, betterSeenAt: -Infinity }
+  return { holders: new Map(), countByRank: new Map(), callsUnderWay: 0, workingPeaks: { windowAt: -Infinity, current: 0, previous: 0 }, betterSeenAt: -Infinity }
 }
 
-/** Records that a request has arrived. A part of the slots is reserved only while requests come that can use it. */
-export function recordArrival (held: HeldSlots, entry: QueuedRequest, now: number): void {
-  if (entry.needsCalls !== true) held.workingSeenAt = now
+/**
+ * Records that a request has arrived. Slots are reserved only while requests come that can use them, and no more than these need: `working` is the
+ * number of requests that need the target only, with this one.
+ */
+export function recordArrival (held: HeldSlots, entry: QueuedRequest, working: number, now: number): void {
+  if (entry.needsCalls !== true) recordWorking(held, working, now)
   else if (rankOf(entry) < worstRank(held)) held.betterSeenAt = now
 }
 
+function recordWorking (held: HeldSlots, working: number, now: number): void {
+  const peaks = held.workingPeaks
+  const ageMs = now - peaks.windowAt
+  if (ageMs >= reserveLifeMs) held.workingPeaks = { windowAt: now, current: working, previous: ageMs < 2 * reserveLifeMs ? peaks.current : 0 }
+  else peaks.current = Math.max(peaks.current, working)
+}
+
+/** Returns the most requests that lately needed the target only at once. */
+function workingPeak ({ workingPeaks: { windowAt, current, previous } }: HeldSlots, now: number): number {
+  const ageMs = now - windowAt
+  if (ageMs >= 2 * reserveLifeMs) return 0
+  return ageMs < reserveLifeMs ? Math.max(current, previous) : current
+}
+
 /** Records that a request has started. */
 export function recordHolder (held: HeldSlots, entry: QueuedRequest): void {
   if (entry.needsCalls !== true) return
@@ -52,7 +75,7 @@
 
 /** Returns the slots that only requests without calls may take. */
 export function slotsForWorking (held: HeldSlots, slots: number, now: number): number {
-  return isMostlyWaiting(held) && now - held.workingSeenAt < reserveLifeMs ? Math.floor(slots * workingReserve) : 0
+  return isMostlyWaiting(held) ? Math.min(workingPeak(held, now), Math.floor(slots * workingReserve)) : 0
 }
 
 /** Returns whether requests may take a free slot now. Those that make calls are kept out of the reserved slots, all others may take any. */
--- a/src/core/admission/queue.ts
+++ b/src/core/admission/queue.ts
@@ -77,7 +77,7 @@
     return decision
   }
   if (admission.queue.length === 0) admission.emptyAt = now
-  if (admission.ranked !== undefined) recordRankedArrival(admission.ranked, admission.queue, entry, now)
+  if (admission.ranked !== undefined) recordRankedArrival(admission.ranked, admission, entry, now)
   admission.queue.push(entry)
   startNext(admission, now, decision)
   const capacity = Math.max(minQueue, Math.ceil(admission.limit.value * queuePerSlot))
--- a/src/core/admission/ranked.ts
+++ b/src/core/admission/ranked.ts
@@ -28,11 +28,13 @@
   return { passedOver: { 'in-progress': 0, new: 0 }, waitingSince: { 'in-progress': 0, new: 0 }, held: createHeldSlots() }
 }
 
-/** Records that a request has arrived behind the queue. */
-export function recordRankedArrival (ranked: RankedWaiting, queue: readonly QueuedRequest[], entry: QueuedRequest, now: number): void {
+/** Records that a request has arrived behind the queue at a target with `running` requests. */
+export function recordRankedArrival (ranked: RankedWaiting, { queue, running }: { queue: readonly QueuedRequest[], running: number }, entry: QueuedRequest, now: number): void {
   const group = groupOf(entry)
   if (!queue.some((other) => groupOf(other) === group)) ranked.waitingSince[group] = now
-  recordArrival(ranked.held, entry, now)
+  let working = running - ranked.held.holders.size + 1
+  for (const { needsCalls } of queue) if (needsCalls !== true) working++
+  recordArrival(ranked.held, entry, working, now)
 }
 
 /**
--- a/test/admission/ranked.test.ts
+++ b/test/admission/ranked.test.ts
@@ -77,6 +77,14 @@
   assert.deepEqual(play(loads, 100, 10), play(loads, 100, 10, false))
 })
 
+test('one direct request a second of the lowest rank keeps no more slots from requests that make calls than it needs', () => {
+  const chained = { perSecond: 205, workMs: 10, callMs: 500, entry: { ...call(0), needsCalls: true } }
+  const alone = play({ chained }, 100, 20)
+  const beside = play({ direct: { perSecond: 1, workMs: 20, entry: direct(3) }, chained }, 100, 20)
+  assert.equal(beside.direct, 1)
+  assert.ok(beside.chained > alone.chained - 0.04, `${beside.chained} ${alone.chained}`)
+})
+
 test('a target that mostly works serves a better rank first, whether or not its requests make calls', () => {
   const { better, worse } = play({
     better: { perSecond: 180, workMs: 400, callMs: 100, entry: { ...direct(1), needsCalls: true } },
