Merge the room of targets with ranked waiting

Cause: both parts count the calls that a target has under way. Change: the gate counts them once for both.

--- a/src/core/node/filters.ts
+++ b/src/core/node/filters.ts
@@ -58,7 +58,7 @@
   /** Returns the rank of the request for which the node's own target calls a route; targets do not name it. */
   estimateRank: (route: EffectiveRoute) => number
   /** Gate of the node's own target, which learns of the calls that the target has under way. */
-  gate: Pick<Gate, 'callStarted' | 'callEnded'>
+  gate: Pick<Gate, 'startCall'>
   /** Returns true while the node's own target works on a request. */
   isTargetWorking: () => boolean
   /** Records that a request was passed on and may run from now on. Returns false for one that has been answered meanwhile. */
--- a/src/core/node/gate.ts
+++ b/src/core/node/gate.ts
@@ -1,6 +1,8 @@
 import { createAdmission, createAdmissionFraction, createRankedFractions, finish, loadOf, nextSweepAt, offer, rankedFractionOf, recordInProgressWait, recordInProgressRefusal, recordRankedWait, slotsForWorking, updateAdmissionFraction, sweepAdmission, removeWaiting, waitingSlots } from '../admission/index.ts'
 import type { Admission, AdmissionDecision, QueuedRequest, FinishedRequest, ShedReason } from '../admission/index.ts'
 import type { Clock } from '../clock/index.ts'
+import { createRoomMeter } from '../room/index.ts'
+import type { RoomMeter } from '../room/index.ts'
 import { inProgressPriority, maxSweepMs, minSweepMs } from './constants.ts'
 
 /** Whether a request may run at the target. */
@@ -11,6 +13,8 @@
   enter: (entry: QueuedRequest) => Promise<Admittance> | Admittance
   /** Releases the slot of a request. `sample` is missing when the request never reached the target, `id` names one that was entered with `needsCalls`. */
   exit: (sample: FinishedRequest | undefined, id?: string) => void
+  /** Records a call of the target that cannot be attributed to one of its requests. Returns a function that records its end. */
+  startCall: () => () => void
   /** Records that a request at the target has begun a call of its own. */
   callStarted: () => void
   /** Records that such a call has ended. */
@@ -23,9 +27,17 @@
   cancel: (id: string) => void
   /** Removes all waiting requests, because the node stops, and returns their number. */
   removeWaiting: () => number
+  /**
+   * Returns the larger of two loads: the requests on which the target works over its room, and those at it, some of which wait for calls of their own,
+   * over its limit. Both include the waiting ones.
+   */
   load: () => number
   running: () => number
   limit: () => number
+  /** Returns the number of requests that the target works on well at once: at most the limit, and equal to it where the room is not used. */
+  room: () => number
+  /** Finds out the room of the target from its requests; undefined where the room is not used. */
+  meter: RoomMeter | undefined
   /**
    * Returns the admission fraction, 0 to 1. For calls of requests in progress it also falls when the target
    * refuses such calls, because a refused call fails the request that it belongs to. Where requests wait by rank, that of new requests
@@ -41,8 +53,12 @@
   close: () => void
 }
 
-/** Creates the gate of a target with `slots`. An adaptive limit may stay below the slots. With `isRanked`, requests wait by the rank of their caller's request. */
-export function createGate (slots: number, clock: Clock, isAdaptive: boolean, isRanked = false): Gate {
+/**
+ * Creates the gate of a target with `slots`. An adaptive limit may stay below the slots. With `isRanked`, requests wait by the rank of their caller's
+ * request; with `usesRoom`, the load counts by the room that is found out.
+ */
+export function createGate (slots: number, clock: Clock, isAdaptive: boolean, isRanked = false, usesRoom = false): Gate {
+  const meter = usesRoom ? createRoomMeter(slots, clock) : undefined
   let admission: Admission = createAdmission(slots, clock.now(), isAdaptive, isRanked)
   const newRequestFraction = createAdmissionFraction(clock.now())
   const inProgressFraction = createAdmissionFraction(clock.now())
@@ -83,7 +99,12 @@
     sweepAt = dueAt
     timer = setTimeout(sweep, Math.min(dueAt - now, maxSweepMs))
   }
+  const countCalls = (change: number) => {
+    if (admission.ranked !== undefined) admission.ranked.held.callsUnderWay += change
+  }
   return {
+    meter,
+    room: () => meter === undefined ? admission.limit.value : Math.min(admission.limit.value, meter.state().room),
     enter (entry) {
       let result: Admittance | undefined
       const resolveNow = (admittance: Admittance) => {
@@ -98,12 +119,16 @@
     exit (sample, id) {
       applyDecision(finish(admission, sample, clock.now(), id))
     },
-    callStarted () {
-      if (admission.ranked !== undefined) admission.ranked.held.callsUnderWay++
-    },
-    callEnded () {
-      if (admission.ranked !== undefined) admission.ranked.held.callsUnderWay--
+    startCall () {
+      countCalls(1)
+      const endCall = meter?.startCall()
+      return () => {
+        countCalls(-1)
+        endCall?.()
+      }
     },
+    callStarted: () => countCalls(1),
+    callEnded: () => countCalls(-1),
     waitingSlots: () => admission.ranked === undefined ? 0 : waitingSlots(admission.ranked.held),
     reservedSlots: () => admission.ranked === undefined ? 0 : slotsForWorking(admission.ranked.held, Math.floor(admission.limit.value), clock.now()),
     cancel (id) {
@@ -114,7 +139,11 @@
       for (const id of removed) resolveWaiting(id, { type: 'shed', reason: 'stopping' })
       return removed.length
     },
-    load: () => loadOf(admission),
+    load () {
+      if (meter === undefined) return loadOf(admission)
+      const { room, working } = meter.state()
+      return Math.max(loadOf(admission), (working + admission.queue.length) / room)
+    },
     running: () => admission.running,
     limit: () => admission.limit.value,
     admissionFraction (priority, needsCalls = true) {
@@ -127,11 +156,13 @@
       if (priority <= inProgressPriority) recordInProgressRefusal(inProgressFraction, clock.now())
     },
     reset (next) {
+      meter?.restart(next)
       const fresh = createAdmission(next, clock.now(), isAdaptive)
       admission = { ...fresh, running: admission.running, queue: admission.queue, ranked: admission.ranked }
       sweep()
     },
     resize (next) {
+      meter?.resize(next)
       admission.limit.slots = next
       admission.limit.value = isAdaptive ? Math.min(admission.limit.value, next) : next
       sweep()
--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -35,6 +35,7 @@
 import { createPipeline } from './pipeline.ts'
 import type { PipelineOptions } from './pipeline.ts'
 import { createRefusals } from './refusals.ts'
+import { watchRoom } from './room-log.ts'
 import { createRunningRequests, giveUpRunning } from './running.ts'
 import { createKeyCheck } from './key-check.ts'
 import { createCallServer } from './serve.ts'
@@ -107,10 +108,11 @@
 /** Starts a node. */
 export async function startNode (options: NodeOptions, environment: Environment, hash: Hash): Promise<Node> {
   const { clock, log, metrics, random } = environment
-  const { id, domain, peer: address, seeds, secrets, dialect = defaultDialect, strictKeys = true, drainMs = Infinity, adaptiveLimit = true, rankedWaiting = true } = options
+  const { id, domain, peer: address, seeds, secrets, dialect = defaultDialect, strictKeys = true, drainMs = Infinity, adaptiveLimit = true } = options
+  const { roomPlacement = true, rankedWaiting = true } = options
   const keepAliveMs = options.keepAliveMs ?? callerKeepAliveMs
   const peers = await createPeers({ id, boot: randomId(), role: 'node', domain, address, seeds, secrets }, environment)
-  const target = createOwnTarget(peers, environment, { drainMs, adaptiveLimit, rankedWaiting })
+  const target = createOwnTarget(peers, environment, { drainMs, adaptiveLimit, rankedWaiting, usesRoom: roomPlacement })
   const spans = createSpans()
   const dependencies = createDependencies(clock)
   const reportedFractions = createReportedFractions()
@@ -130,7 +132,7 @@
     if (member.status !== 'alive') forwarder.probeNode(member.address)
   })
   const callSender = createCallSender({
-    peers, server, forwarder, fleetRetries: options.fleetRetries ?? Infinity, reportedFractions, mayBegin, drainMs, decisions, environment
+    peers, server, forwarder, fleetRetries: options.fleetRetries ?? Infinity, roomPlacement, reportedFractions, mayBegin, drainMs, decisions, environment
   })
   peers.onMemberChange((member) => {
     if (member.leaving === true || member.target?.state === 'leaving') callSender.refreshMembers()
@@ -208,6 +210,7 @@
   metrics.gauge('limit', () => target.gate.limit())
   metrics.gauge('slots_waiting', gate.waitingSlots)
   metrics.gauge('slots_reserved', gate.reservedSlots)
+  const roomLog = watchRoom(id, target, environment)
   log.info('node started', { id, domain, listen: listenAddress, peer: peers.address, local: localAddress })
 
   /** Reports to the leader which configuration revision this node applies, for `status`. */
@@ -260,6 +263,7 @@
       await readArrived() // Calls of other nodes that lie unread are refused.
       peerSessions.close()
       clearInterval(reportTimer)
+      roomLog.close()
       rates.close()
       callSender.close()
       claimHolder.close()
--- a/src/core/node/target.ts
+++ b/src/core/node/target.ts
@@ -74,6 +74,8 @@
   adaptiveLimit: boolean
   /** Whether requests wait by the rank of the caller's request that they belong to. Default: false. */
   rankedWaiting?: boolean
+  /** Whether the room of the target is found out and used. Default: false. */
+  usesRoom?: boolean
 }
 
 /** State of the node's own target, from its announcements and its connections. */
@@ -111,7 +113,7 @@
 
 /** Creates the state of a target that has not announced itself yet. */
 export function createOwnTarget (peers: Peers, { clock, log }: Environment, options: OwnTargetOptions): OwnTarget {
-  const gate = createGate(1, clock, options.adaptiveLimit, options.rankedWaiting)
+  const gate = createGate(1, clock, options.adaptiveLimit, options.rankedWaiting, options.usesRoom)
   const order = createAnnouncementOrder(announcementLifeMs)
   let target: Target | undefined
   let lastAnnouncement: Announcement | undefined
