Shares of the room: a target divides its room, entry nodes begin no more than that

Until now an entry node drew lots by a fraction that followed the waits of calls in progress: windows of 400 ms, +0.06 a window, so that requests without room further down were begun, failed and had wasted what they used. The node of a target now estimates the demand that there would be if nothing were refused (arrivals over the share that callers had heard, times the time for which a request is held), divides 0.95 of the room by rank and max-min, and states the share with each answer; nodes between pass the smallest on, entry nodes begin by credit. Off with roomShares false; then the old fraction decides.

The codec test got the new field of the call context.

--- a/src/core/log/events.ts
+++ b/src/core/log/events.ts
@@ -71,8 +71,8 @@
   }>({ name: 'request_refused', message: 'request refused at its entry', volume: endVolume }),
   /** The sending side refused a request before an attempt, to spare loaded services. */
   requestTurnedAway: defineEvent<Cause & Callee & {
-    rule: 'admission fraction' | 'throttle'
-    /** Admission fraction of the callee as last reported, 0 to 1. */
+    rule: 'room share' | 'admission fraction' | 'throttle'
+    /** Share or admission fraction of the callee as last reported, 0 to 1. */
     fraction: number
     expectedRetry: boolean
   }>({ name: 'request_turned_away', message: 'request refused before an attempt' }),
--- a/src/core/node/attempts.ts
+++ b/src/core/node/attempts.ts
@@ -16,6 +16,7 @@
 import { countEndpoints, endpointsByService, nextEndpoints } from './endpoints.ts'
 import type { Endpoint, ServiceEndpoints } from './endpoints.ts'
 import type { Forwarder } from './forward.ts'
+import type { RoomShares } from './room-shares.ts'
 import type { CallServer } from './serve.ts'
 import type { StoppingRequest } from './stop.ts'
 import { calleeKey, callEndOf, emptyReport } from './types.ts'
@@ -58,6 +59,8 @@
   /** Retries per service that all nodes together may make in a short time beyond a tenth of the successes. */
   fleetRetries: number
   reportedFractions: ReportedFractions
+  /** Shares of the room; undefined where admission fractions decide in their place. */
+  roomShares?: RoomShares
   /** Returns false for an attempt that this node no longer begins because it stops. */
   mayBegin: (attempt: StoppingRequest) => boolean
   /** Time for which a target that leaves by itself still gets requests, in ms. */
@@ -67,7 +70,7 @@
 }
 
 /** Creates the part of a node that calls targets. */
-export function createCallSender ({ peers, server, forwarder, fleetRetries, reportedFractions, mayBegin, drainMs, decisions, environment }: SendContext): CallSender {
+export function createCallSender ({ peers, server, forwarder, fleetRetries, reportedFractions, roomShares, mayBegin, drainMs, decisions, environment }: SendContext): CallSender {
   const { clock, random, metrics } = environment
   const statsByNode = createTargetStats()
   const retryTokens = createRetryTokens()
@@ -96,18 +99,27 @@
     const stats = statsOf(statsByNode, endpoint.node)
     const startedAt = clock.now()
     const reserved = reserveBudget(budget)
-    const attempt: Call = { ...call, context: { ...call.context, attempt: randomId(), budget: reserved, waitMs } }
+    const share = shareOf(call.context)
+    const heardShare = share < 1 ? share : undefined
+    const attempt: Call = { ...call, context: { ...call.context, attempt: randomId(), budget: reserved, waitMs, heardShare } }
     stats.inFlight++
     const outcome = endpoint.node === id ? await server.serve(attempt, sink) : await forwarder.forward(endpoint.address, attempt, reserved, sink)
     stats.inFlight--
     releaseBudget(budget, reserved, outcome.report.used)
-    recordAttempt(calleeKey(call.context), outcome, endpoint, clock.now() - startedAt)
+    recordAttempt(call.context, outcome, endpoint, clock.now() - startedAt)
     return outcome
   }
-  const recordAttempt = (callee: string, outcome: AttemptOutcome, endpoint: Endpoint, latencyMs: number) => {
+  /** Returns the share of the callee's room for calls like this one; 1 where shares are off. */
+  const shareOf = (callContext: CallContext): number => roomShares?.shareOf(calleeKey(callContext), callContext.rank) ?? 1
+  /** Records the share or admission fraction that the node of a target stated. */
+  const recordShare = (callContext: CallContext, { report }: AttemptOutcome, node: string) => {
+    if (roomShares !== undefined) return roomShares.recordReport(callContext, node, report)
+    if (report.share !== undefined) recordReportedFraction(reportedFractions, calleeKey(callContext), node, report.share, clock.now())
+  }
+  const recordAttempt = (callContext: CallContext, outcome: AttemptOutcome, endpoint: Endpoint, latencyMs: number) => {
     const stats = statsOf(statsByNode, endpoint.node)
     const now = clock.now()
-    if (outcome.report.share !== undefined) recordReportedFraction(reportedFractions, callee, endpoint.node, outcome.report.share, now)
+    recordShare(callContext, outcome, endpoint.node)
     metrics.count(`attempts_total{outcome="${outcome.type}"}`)
     if (outcome.type === 'answered') return recordAnswer(stats, latencyMs, outcome.report.load, now)
     const unreachable = outcome.type === 'refused' && outcome.failure.code === 'noTarget'
@@ -122,11 +134,18 @@
     const elsewhere = outcome.type === 'refused' ? outcome.elsewhere : true
     return mayRetry({ notRun, crashed, suspect: call.context.suspect, elsewhere }, call.context.idempotent, call.deadlineAt - clock.now())
   }
+  /** Returns true when a new request of a caller is begun, by the share of the room or the admission fraction that its callee states. */
+  const mayBeginNew = (call: Call, share: number): boolean => {
+    if (roomShares !== undefined) return share === 1 || roomShares.mayBegin(call, share)
+    const fraction = reportedFractionOf(reportedFractions, calleeKey(call.context), clock.now())
+    return isAdmitted(fraction, call.context.priority, random.next(), call.isExpectedRetry)
+  }
   const mayBeginAnother = ({ context, deadlineAt }: Call): boolean =>
     mayBegin({ source: 'caller', timeoutMs: deadlineAt - clock.now(), longestMs: durations.longest(calleeKey(context)) })
   const turnAway = (call: Call, reason: string, rule: TurnAway['rule']): AttemptOutcome => {
     const failure = fail('overloaded', { service: call.context.service, reason })
-    decisions.turnAway(call, failure, { rule, fraction: reportedFractionOf(reportedFractions, calleeKey(call.context), clock.now()) })
+    const fraction = roomShares === undefined ? reportedFractionOf(reportedFractions, calleeKey(call.context), clock.now()) : shareOf(call.context)
+    decisions.turnAway(call, failure, { rule, fraction })
     return createRefusal(failure, true)
   }
   const throttleKey = ({ context }: Call) => `${context.template}/${context.route}/${context.workspace ?? ''}/${context.priority}`
@@ -135,11 +154,14 @@
     const { service, priority } = call.context
     const key = throttleKey(call)
     const isNewRequest = priority > inProgressPriority && call.context.depth === 0
-    if (isNewRequest && !isAdmitted(reportedFractionOf(reportedFractions, calleeKey(call.context), clock.now()), priority, random.next(), call.isExpectedRetry)) {
+    const share = isNewRequest ? shareOf(call.context) : 1
+    if (isNewRequest && !mayBeginNew(call, share)) {
       metrics.count(`turned_away_total{priority="${priority}"}`)
-      return turnAway(call, 'refused before it began, as it leads to services that cannot bear more', 'admission fraction')
+      return turnAway(call, 'refused before it began, as it leads to services that cannot bear more', roomShares === undefined ? 'admission fraction' : 'room share')
     }
-    if (priority > inProgressPriority && !passesThrottle(throttle, key, priority, random.next(), clock.now())) {
+    // A share already takes into account what targets refuse.
+    const isThrottled = priority > inProgressPriority && share === 1
+    if (isThrottled && !passesThrottle(throttle, key, priority, random.next(), clock.now())) {
       metrics.count(`throttled_total{priority="${priorities[priority]}"}`)
       return turnAway(call, 'refused early, as targets further down refuse', 'throttle')
     }
@@ -167,7 +189,7 @@
         return finalOutcome(outcome, mayHaveRun)
       }
       const overloaded = outcome.report.shed || (outcome.type === 'answered' && outcome.status === 503)
-      recordOutcome(throttle, key, priority, !overloaded, clock.now())
+      if (isThrottled) recordOutcome(throttle, key, priority, !overloaded, clock.now())
       if (outcome.type === 'answered') depositRetryToken(retryTokens, service)
       if (outcome.type === 'failed') mayHaveRun = outcome
       tried.add(chosen.node)
--- a/src/core/node/call-codec.ts
+++ b/src/core/node/call-codec.ts
@@ -19,7 +19,7 @@
 /** Fields of a context in the order in which they are sent between nodes, without their names. */
 const contextFields = [
   'attempt', 'chain', 'lineage', 'workspace', 'keyId', 'template', 'route', 'service', 'priority', 'rank', 'weight', 'idempotent', 'needsClaim', 'host',
-  'digest', 'fingerprint', 'suspect', 'resendable', 'depth', 'budget', 'remainingMs', 'waitMs'
+  'digest', 'fingerprint', 'suspect', 'resendable', 'depth', 'budget', 'remainingMs', 'waitMs', 'heardShare'
 ] as const satisfies ReadonlyArray<keyof CallContext>
 
 const openingLength = 5
@@ -38,7 +38,7 @@
 
 function decodeContext (values: unknown[]): CallContext {
   const context = Object.fromEntries(contextFields.map((field, index) => [field, values[index]])) as unknown as CallContext
-  return { ...context, lineage: context.lineage === '' ? context.chain : context.lineage, waitMs: context.waitMs ?? undefined }
+  return { ...context, lineage: context.lineage === '' ? context.chain : context.lineage, waitMs: context.waitMs ?? undefined, heardShare: context.heardShare ?? undefined }
 }
 
 /** Decodes the first message of a call. Returns undefined for a value of another version of the program. */
--- a/src/core/node/decisions.ts
+++ b/src/core/node/decisions.ts
@@ -24,8 +24,8 @@
 
 /** Why the sending side refused a request before an attempt. */
 export interface TurnAway {
-  rule: 'admission fraction' | 'throttle'
-  /** Reported admission fraction of the callee, 0 to 1. */
+  rule: 'room share' | 'admission fraction' | 'throttle'
+  /** Share or admission fraction of the callee as last reported, 0 to 1. */
   fraction: number
 }
 
--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -34,6 +34,7 @@
 import { createPipeline } from './pipeline.ts'
 import type { PipelineOptions } from './pipeline.ts'
 import { createRefusals } from './refusals.ts'
+import { createRoomShares } from './room-shares.ts'
 import { createRunningRequests, giveUpRunning } from './running.ts'
 import { createKeyCheck } from './key-check.ts'
 import { createCallServer } from './serve.ts'
@@ -112,6 +113,7 @@
   const spans = createSpans()
   const dependencies = createDependencies(clock)
   const reportedFractions = createReportedFractions()
+  const roomShares = options.roomShares === false ? undefined : createRoomShares(() => target.gate.limit(), environment)
   const claimHolder = serveClaims(peers, environment)
   const claims = createClaimClient(peers, environment, hash)
   const rates = createRateClient(peers, createMeter(options.rateWindowMs ?? 0), environment)
@@ -122,13 +124,13 @@
   const findKeyFailure = createKeyCheck(peers, clock, { configuredBy: dialect.configuredBy, strict: strictKeys })
   const crashes = createCrashReporter(peers, target, environment)
   const mayBegin = (request: StoppingRequest) => beginsDuring(stop, request, clock.now())
-  const server = createCallServer({ dialect, findKeyFailure, mayBegin, dependencies, reportedFractions, peers, target, claims, crashes, spans, decisions, environment })
+  const server = createCallServer({ dialect, findKeyFailure, mayBegin, dependencies, reportedFractions, roomShares, peers, target, claims, crashes, spans, decisions, environment })
   const forwarder = createForwarder(peers, environment)
   peers.onMemberChange((member) => {
     if (member.status !== 'alive') forwarder.probeNode(member.address)
   })
   const callSender = createCallSender({
-    peers, server, forwarder, fleetRetries: options.fleetRetries ?? Infinity, reportedFractions, mayBegin, drainMs, decisions, environment
+    peers, server, forwarder, fleetRetries: options.fleetRetries ?? Infinity, reportedFractions, roomShares, mayBegin, drainMs, decisions, environment
   })
   peers.onMemberChange((member) => {
     if (member.leaving === true || member.target?.state === 'leaving') callSender.refreshMembers()
@@ -256,6 +258,7 @@
       clearInterval(reportTimer)
       rates.close()
       callSender.close()
+      roomShares?.close()
       claimHolder.close()
       forwarder.close()
       crashes.close()
--- /dev/null
+++ b/src/core/node/room-shares.ts
@@ -0,0 +1,126 @@
+import { createBeginnings, createGiver, createStatements, mayBegin, ownShareOf, pruneBeginnings, recordArrival, recordLeaving, recordStart, recordStatement, statedShareOf, updateGiver } from '../shares/index.ts'
+import type { ClassOf, ClassState, Giver, Leaving } from '../shares/index.ts'
+import type { Environment } from '../peers/index.ts'
+import { inProgressPriority } from './constants.ts'
+import { calleeKey } from './types.ts'
+import type { AttemptOutcome, Call, CallContext, Report } from './types.ts'
+
+const pruneEveryMs = 5000
+
+/** Shortest time for which a state of the room lasts before the log tells that it has changed, in milliseconds. */
+const minStateMs = 1000
+
+/** Most classes whose share is exposed as a metric; classes keep their metric while the process runs. */
+const maxExposedClasses = 64
+
+/** Requests that are at the node's own target or in its queue. */
+interface Held {
+  state: ClassState
+  startedAt: number | undefined
+}
+
+/** Shares of the room of targets: those that this node gives, passes on and keeps to. */
+export interface RoomShares {
+  /** Records a call that came to the node's own target or its queue. */
+  enter: (context: CallContext) => void
+  /** Records that the target got the call. */
+  start: (context: CallContext) => void
+  /** Records that the call has left the target or its queue. A call that never entered is ignored. */
+  leave: (context: CallContext, outcome: AttemptOutcome | undefined) => void
+  /** Returns the share that this node states for calls like this one: the smallest of its own and those of the callees needed; 1 when there is room for all. */
+  stateShare: (context: CallContext, neededCallees: readonly string[]) => number
+  /** Records what a target's node stated with the end of a call. A report without a share comes from no node. */
+  recordReport: (context: CallContext, node: string, report: Report) => void
+  /** Returns the share that targets have stated for a callee ("service/route") and rank; 1 when there is room for all. */
+  shareOf: (callee: string, rank: number) => number
+  /** Returns true when a new request of a caller is begun. */
+  mayBegin: (call: Call, share: number) => boolean
+  close: () => void
+}
+
+function classOf ({ route, rank, priority, depth }: CallContext): ClassOf {
+  return { route, rank, isInProgress: priority <= inProgressPriority || depth > 0 }
+}
+
+function leavingOf (outcome: AttemptOutcome | undefined): Leaving {
+  return outcome?.type === 'refused' && outcome.arrived ? 'refused' : 'ended'
+}
+
+/** Writes a line when the room of the own target becomes short and when it no longer is, and exposes the shares of the classes that were short. */
+function createObserver (giver: Giver, { clock, log, metrics }: Environment) {
+  const exposed = new Set<string>()
+  let wasShort = false
+  let changedAt = -Infinity
+  const expose = () => {
+    for (const { name, rank, isInProgress, share } of giver.classes.values()) {
+      if (share === 1 || exposed.has(name) || exposed.size >= maxExposedClasses) continue
+      exposed.add(name)
+      const labels = `{class="${isInProgress ? 'in progress' : name.slice(0, name.lastIndexOf('/'))}",rank="${rank}"}`
+      metrics.gauge(`room_share${labels}`, () => giver.classes.get(name)?.share ?? 1)
+      metrics.gauge(`room_demand${labels}`, () => giver.classes.get(name)?.demand ?? 0)
+    }
+  }
+  metrics.gauge('room_divided', () => giver.divided)
+  return () => {
+    if (giver.isShort) expose()
+    const now = clock.now()
+    if (giver.isShort === wasShort || now - changedAt < minStateMs) return
+    wasShort = giver.isShort
+    changedAt = now
+    const classes = [...giver.classes.values()].map(({ name, share, demand }) => ({ class: name, share: Math.round(100 * share) / 100, demand: Math.round(10 * demand) / 10 }))
+    log.info(wasShort ? 'room of the target is short' : 'room of the target is no longer short', { room: Math.round(10 * giver.divided) / 10, classes: classes.slice(0, maxExposedClasses) })
+  }
+}
+
+/** Creates the shares of a node whose own target has `room()`. */
+export function createRoomShares (room: () => number, environment: Environment): RoomShares {
+  const { clock, random } = environment
+  const giver = createGiver(clock.now())
+  const statements = createStatements()
+  const beginnings = createBeginnings()
+  const held = new Map<string, Held>()
+  const observe = createObserver(giver, environment)
+  const timer = setInterval(() => pruneBeginnings(beginnings, clock.now()), pruneEveryMs)
+  const update = () => {
+    const { windowAt } = giver
+    updateGiver(giver, room(), clock.now())
+    if (giver.windowAt !== windowAt) observe()
+  }
+  const shareOf = (callee: string, rank: number) => statedShareOf(statements, callee, rank, clock.now())
+  return {
+    enter (context) {
+      update()
+      held.set(context.attempt, { state: recordArrival(giver, classOf(context), context.heardShare ?? 1, clock.now()), startedAt: undefined })
+    },
+    start (context) {
+      const found = held.get(context.attempt)
+      if (found === undefined) return
+      found.startedAt = clock.now()
+      recordStart(found.state, found.startedAt)
+    },
+    leave (context, outcome) {
+      const found = held.get(context.attempt)
+      if (found === undefined) return
+      held.delete(context.attempt)
+      const now = clock.now()
+      if (found.startedAt === undefined) recordLeaving(giver, found.state, 'not-started', 0, now)
+      else recordLeaving(giver, found.state, leavingOf(outcome), now - found.startedAt, now)
+    },
+    stateShare (context, neededCallees) {
+      update()
+      let share = ownShareOf(giver, classOf(context))
+      for (const callee of neededCallees) share = Math.min(share, shareOf(callee, context.rank))
+      return Math.round(1000 * share) / 1000
+    },
+    recordReport (context, node, { share, room: targetRoom }) {
+      if (share !== undefined) recordStatement(statements, { callee: calleeKey(context), rank: context.rank, node }, { share, room: targetRoom }, clock.now())
+    },
+    shareOf,
+    mayBegin ({ context, isExpectedRetry }, share) {
+      const { rank, workspace, weight } = context
+      const beginner = { key: `${calleeKey(context)}/${rank}`, workspace: workspace ?? '', weight, isExpectedRetry: isExpectedRetry === true }
+      return mayBegin(beginnings, beginner, share, clock.now(), random)
+    },
+    close: () => clearInterval(timer)
+  }
+}
--- a/src/core/node/serve.ts
+++ b/src/core/node/serve.ts
@@ -13,12 +13,12 @@
 import type { ExchangeError } from './exchange.ts'
 import type { Dependencies } from './dependencies.ts'
 import { createDurations } from './durations.ts'
-import type { CallEnd } from './durations.ts'
 import type { Dialect } from './dialect.ts'
 import type { Admittance } from './gate.ts'
 import { headerOf } from './headers.ts'
 import type { KeyCheck } from './key-check.ts'
 import { createRefusedIds } from './refused-ids.ts'
+import type { RoomShares } from './room-shares.ts'
 import { createSerialQueue } from './serial-queue.ts'
 import { createHeldSink } from './sinks.ts'
 import type { Span, Spans } from './spans.ts'
@@ -50,6 +50,8 @@
   dependencies: Dependencies
   /** Admission fractions reported by other services' nodes. */
   reportedFractions: ReportedFractions
+  /** Shares of the room; undefined where admission fractions are stated in their place. */
+  roomShares?: RoomShares
   decisions: Decisions
   environment: Environment
 }
@@ -78,7 +80,7 @@
 
 /** Creates the part of a node that serves calls with its own target. */
 export function createCallServer (context: ServeContext): CallServer {
-  const { dialect, findKeyFailure, mayBegin, peers, target, claims, crashes, spans, dependencies, reportedFractions, decisions, environment } = context
+  const { dialect, findKeyFailure, mayBegin, peers, target, claims, crashes, spans, dependencies, reportedFractions, roomShares, decisions, environment } = context
   const { clock, metrics } = environment
   const suspectQueue = createSerialQueue()
   const refusedIds = createRefusedIds(clock)
@@ -86,16 +88,19 @@
   let running = 0
   let echoesRequestId = false
 
-  /** Returns the smallest of the target's admission fraction and those of the callees that the call's route needs downstream. */
-  const admissionFraction = ({ route, priority }: CallContext): number => {
+  /** Returns the smallest of the target's share or admission fraction and those of the callees that the call's route needs downstream. */
+  const statedShare = (callContext: CallContext): number => {
+    const { route, priority } = callContext
     const now = clock.now()
-    const needed = dependencies.neededCallees(route).map((callee) => reportedFractionOf(reportedFractions, callee, now))
+    const callees = dependencies.neededCallees(route)
+    if (roomShares !== undefined) return roomShares.stateShare(callContext, callees)
+    const needed = callees.map((callee) => reportedFractionOf(reportedFractions, callee, now))
     return Math.round(1000 * Math.min(target.gate.admissionFraction(priority), ...needed)) / 1000
   }
-  const createReport = (call: Call, span?: Span): Report => ({ used: span?.budget.used ?? 0, load: target.gate.load(), shed: span?.shed ?? false, share: admissionFraction(call.context) })
+  const createReport = (call: Call, span?: Span): Report => ({ used: span?.budget.used ?? 0, load: target.gate.load(), shed: span?.shed ?? false, share: statedShare(call.context) })
   const createRefusal = (call: Call, failure: Failure, elsewhere: boolean, arrived = false): AttemptOutcome => {
     const shed = failure.code === 'overloaded' || arrived
-    return { type: 'refused', failure, elsewhere, arrived, report: { ...emptyReport, load: target.gate.load(), shed, share: admissionFraction(call.context) } }
+    return { type: 'refused', failure, elsewhere, arrived, report: { ...emptyReport, load: target.gate.load(), shed, share: statedShare(call.context) } }
   }
   const createFailure = (call: Call, failure: Failure, crashed: boolean, span?: Span): AttemptOutcome => ({ type: 'failed', failure, crashed, report: createReport(call, span) })
 
@@ -127,13 +132,13 @@
 
   const serve = async (call: Call, sink: Sink): Promise<AttemptOutcome> => {
     const recordEnd = durations.begin(call.context.route)
-    let end: CallEnd = 'failed'
+    let outcome: AttemptOutcome | undefined
     try {
-      const outcome = await serveUnlessRefused(call, sink)
-      end = callEndOf(outcome)
+      outcome = await serveUnlessRefused(call, sink)
       return outcome
     } finally {
-      recordEnd(end)
+      recordEnd(outcome === undefined ? 'failed' : callEndOf(outcome))
+      roomShares?.leave(call.context, outcome)
     }
   }
 
@@ -153,6 +158,7 @@
     const { attempt, priority, workspace, weight, service } = call.context
     const { gate } = target
     const arrivedAt = clock.now()
+    roomShares?.enter(call.context)
     const entering = gate.enter({ id: attempt, kind: call.context.route, priority, workspace: workspace ?? '', weight, arrivedAt, deadlineAt: call.deadlineAt, maxWaitMs: call.context.waitMs })
     const stopListening = call.cancellation.listen(() => gate.cancel(attempt))
     const admittance = entering instanceof Promise ? await entering : entering
@@ -165,6 +171,7 @@
       decisions.shed(call, failure, admittance.reason, arrivedAt)
       return createRefusal(call, failure, !isTooLate)
     }
+    roomShares?.start(call.context)
     const refusal = call.cancellation.cancelled ? { failure: fail('deadline', { stage: 'while the request waited' }), elsewhere: false } : findRefusal(call)
     if (refusal !== undefined) {
       gate.exit(undefined)
--- a/src/core/node/types.ts
+++ b/src/core/node/types.ts
@@ -41,6 +41,8 @@
   remainingMs: number
   /** Time that the call may still wait in queues, in milliseconds; missing when the queue applies its default. */
   waitMs?: number
+  /** Share of its callee's room with which the sending node reckoned for such calls, 0 to 1; missing while it knows of no shortage. */
+  heardShare?: number
 }
 
 /** Returns the key of the statistics on calls to a service and route. */
@@ -82,7 +84,7 @@
   load: number
   /** True when a downstream service refused a part of this call. */
   shed: boolean
-  /** Admission fraction of the target and its callees; missing when no node answered. */
+  /** Share or admission fraction of the target and its callees; missing when no node answered. */
   share?: number
   /** Requests that the target works on well at once; missing where its node does not state it. */
   room?: number
--- /dev/null
+++ b/src/core/shares/index.ts
@@ -0,0 +1,8 @@
+export { createBeginnings, mayBegin, pruneBeginnings } from './beginnings.ts'
+export type { Beginner, Beginnings } from './beginnings.ts'
+export { divideRoom } from './divide.ts'
+export type { Demand } from './divide.ts'
+export { createGiver, ownShareOf, recordArrival, recordLeaving, recordStart, updateGiver } from './giver.ts'
+export type { ClassOf, ClassState, Giver, Leaving } from './giver.ts'
+export { createStatements, recordStatement, statedShareOf } from './statements.ts'
+export type { StatementSource, Statements } from './statements.ts'
--- a/test/node/call-codec.test.ts
+++ b/test/node/call-codec.test.ts
@@ -30,7 +30,8 @@
   depth: 3,
   budget: 1,
   remainingMs: 12.5,
-  waitMs: 7
+  waitMs: 7,
+  heardShare: 0.5
 }
 const opening: CallOpening = { context, method: 'POST', path: '/p?q=1', headers: ['x-a', '1', 'x-a', '2'], bodyBytes: 9 }
 
@@ -45,7 +46,7 @@
 })
 
 test('a call without claim and key is sent without digest and lineage', () => {
-  const plain = { ...context, needsClaim: false, lineage: 'c', workspace: null, waitMs: undefined }
+  const plain = { ...context, needsClaim: false, lineage: 'c', workspace: null, waitMs: undefined, heardShare: undefined }
   const arrived = decodeOpening(encodeAndDecode(encodeOpening({ ...opening, context: plain })))
   assert.deepEqual(arrived?.context, { ...plain, digest: '' })
 })
--- /dev/null
+++ b/test/shares/shares.test.ts
@@ -0,0 +1,127 @@
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { createRandom } from '../../src/core/random/index.ts'
+import { createBeginnings, createGiver, createStatements, divideRoom, mayBegin, ownShareOf, pruneBeginnings, recordArrival, recordLeaving, recordStart, recordStatement, statedShareOf, updateGiver } from '../../src/core/shares/index.ts'
+
+const inProgress = { route: 'last', rank: 1, isInProgress: true }
+
+function sumServed (demands: Array<{ rank: number, amount: number }>, fractions: number[]): number {
+  return demands.reduce((sum, { amount }, index) => sum + amount * fractions[index], 0)
+}
+
+test('room for all is not divided', () => {
+  assert.deepEqual(divideRoom([{ rank: 0, amount: 40 }, { rank: 2, amount: 60 }, { rank: 3, amount: 0 }], 100), [1, 1, 1])
+  assert.deepEqual(divideRoom([], 10), [])
+})
+
+test('within a rank the class that asks for little gets all of it', () => {
+  const demands = [{ rank: 1, amount: 150 }, { rank: 1, amount: 5 }]
+  const fractions = divideRoom(demands, 95)
+  assert.equal(fractions[1], 1)
+  assert.ok(Math.abs(sumServed(demands, fractions) - 95) < 0.1)
+})
+
+test('no rank is starved, and none is served a smaller part than a lower one', () => {
+  const demands = [{ rank: 0, amount: 100 }, { rank: 1, amount: 100 }, { rank: 3, amount: 100 }]
+  const [first, second, third] = divideRoom(demands, 100)
+  assert.ok(first > second && second > third)
+  assert.ok(third / first > 0.8)
+  assert.ok(Math.abs(first + second + third - 1) < 0.01)
+})
+
+test('with little too much asked only the lowest rank is short', () => {
+  const [first, second] = divideRoom([{ rank: 0, amount: 50 }, { rank: 2, amount: 55 }], 100)
+  assert.equal(first, 1)
+  assert.ok(Math.abs(second - 50 / 55) < 0.01)
+})
+
+test('a small class of low rank is not served a larger part than a short one of high rank', () => {
+  const [high, low] = divideRoom([{ rank: 0, amount: 300 }, { rank: 2, amount: 3 }], 100)
+  assert.ok(low <= high)
+})
+
+test('a target without an end for a long time is short, although nothing was refused', () => {
+  const giver = createGiver(0)
+  for (let now = 0; now < 2000; now += 20) {
+    const state = recordArrival(giver, inProgress, 1, now)
+    if (now < 400) {
+      recordStart(state, now)
+      recordLeaving(giver, state, 'ended', 0, now)
+    } else if (now < 600) recordStart(state, now)
+    updateGiver(giver, 10, now)
+  }
+  assert.ok(ownShareOf(giver, inProgress) < 0.5)
+})
+
+test('classes are few, however many routes there are, and idle ones are forgotten', () => {
+  const giver = createGiver(0)
+  for (let route = 0; route < 500; route++) recordLeaving(giver, recordArrival(giver, { route: `r${route}`, rank: route % 3, isInProgress: false }, 1, 0), 'not-started', 0, 0)
+  assert.ok(giver.classes.size <= 70)
+  for (let now = 200; now < 20_000; now += 200) updateGiver(giver, 10, now)
+  assert.equal(giver.classes.size, 0)
+})
+
+test('a statement counts by room, ages out, and lets requests in step by step when nobody confirms it', () => {
+  const known = createStatements()
+  const source = { callee: 's/r', rank: 1 }
+  recordStatement(known, { ...source, node: 'n0' }, { share: 1, room: 10 }, 0)
+  assert.equal(known.size, 0)
+  recordStatement(known, { ...source, node: 'n1' }, { share: 0.2, room: 30 }, 0)
+  recordStatement(known, { ...source, node: 'n2' }, { share: 0.6, room: 10 }, 0)
+  assert.ok(Math.abs(statedShareOf(known, 's/r', 1, 0) - 0.3) < 1e-9)
+  assert.equal(statedShareOf(known, 's/r', 3, 0), statedShareOf(known, 's/r', 1, 0))
+  assert.equal(statedShareOf(known, 's/other', 1, 0), 1)
+  recordStatement(known, { ...source, node: 'n1' }, { share: 0.2, room: 30 }, 2000)
+  assert.ok(Math.abs(statedShareOf(known, 's/r', 1, 4000) - 0.2) < 1e-9)
+  assert.ok(Math.abs(statedShareOf(known, 's/r', 1, 5500) - 0.4) < 1e-9)
+  assert.equal(statedShareOf(known, 's/r', 1, 8000), 1)
+  assert.equal(known.size, 0)
+})
+
+test('a rank for which there is room keeps its own statements beside a short one', () => {
+  const known = createStatements()
+  recordStatement(known, { callee: 's/r', rank: 2, node: 'n' }, { share: 0.3, room: undefined }, 0)
+  recordStatement(known, { callee: 's/r', rank: 0, node: 'n' }, { share: 1, room: undefined }, 0)
+  assert.equal(statedShareOf(known, 's/r', 0, 0), 1)
+  assert.equal(statedShareOf(known, 's/r', 2, 0), 0.3)
+})
+
+/** Asks `count` times and returns how many requests are begun. */
+function countBegun (count: number, share: number, stepMs: number, workspaceOf: (index: number) => string, isRetry: (index: number) => boolean = () => false): number[] {
+  const beginnings = createBeginnings()
+  const random = createRandom(1)
+  const begun: number[] = []
+  for (let index = 0; index < count; index++) {
+    const beginner = { key: 'r', workspace: workspaceOf(index), weight: 1, isExpectedRetry: isRetry(index) }
+    if (mayBegin(beginnings, beginner, share, index * stepMs, random)) begun.push(index)
+  }
+  return begun
+}
+
+test('the begun part is the share, for one workspace, for many, and for few requests', () => {
+  for (const share of [0.05, 0.3, 0.62, 0.95]) {
+    assert.ok(Math.abs(countBegun(1000, share, 5, () => 'w').length / 1000 - share) < 0.02)
+    assert.ok(Math.abs(countBegun(1000, share, 5, (index) => `w${index % 37}`).length / 1000 - share) < 0.02)
+    assert.ok(Math.abs(countBegun(300, share, 700, (index) => `w${index % 37}`).length / 300 - share) < 0.03)
+  }
+})
+
+test('expected retries go first, and the sum begun stays at the share', () => {
+  const isRetry = (index: number) => index % 5 === 0
+  const begun = countBegun(1000, 0.4, 5, () => 'w', isRetry)
+  assert.ok(begun.filter(isRetry).length > 0.9 * 200)
+  assert.ok(Math.abs(begun.length - 400) < 20)
+})
+
+test('few retries first does not starve new requests', () => {
+  const isRetry = (index: number) => index % 2 === 0
+  const begun = countBegun(1000, 0.4, 5, () => 'w', isRetry)
+  assert.ok(Math.abs(begun.length - 400) < 20)
+})
+
+test('routes with room again are forgotten', () => {
+  const beginnings = createBeginnings()
+  mayBegin(beginnings, { key: 'r', workspace: 'w', weight: 1, isExpectedRetry: false }, 0.5, 0, createRandom(1))
+  pruneBeginnings(beginnings, 6000)
+  assert.equal(beginnings.size, 0)
+})
