--- a/src/core/node/attempts.ts
+++ b/src/core/node/attempts.ts
@@ -112,8 +112,13 @@
   /** Returns the share of the callee's room for calls like this one; 1 where shares are off. */
   const shareOf = (callContext: CallContext): number => roomShares?.shareOf(calleeKey(callContext), callContext.rank) ?? 1
   /** Records the share or admission fraction that the node of a target stated. */
-  const recordShare = (callContext: CallContext, { report }: AttemptOutcome, node: string) => {
-    if (roomShares !== undefined) return roomShares.recordReport(callContext, node, report)
+  const recordShare = (callContext: CallContext, outcome: AttemptOutcome, node: string) => {
+    const { report } = outcome
+    if (roomShares !== undefined) {
+      // A node without its target knows nothing of the room.
+      if (outcome.type !== 'refused' || outcome.failure.code !== 'noTarget') roomShares.recordReport(callContext, node, report)
+      return
+    }
     if (report.share !== undefined) recordReportedFraction(reportedFractions, calleeKey(callContext), node, report.share, clock.now())
   }
   const recordAttempt = (callContext: CallContext, outcome: AttemptOutcome, endpoint: Endpoint, latencyMs: number) => {
@@ -154,14 +159,14 @@
     const { service, priority } = call.context
     const key = throttleKey(call)
     const isNewRequest = priority > inProgressPriority && call.context.depth === 0
-    const share = isNewRequest ? shareOf(call.context) : 1
+    const share = shareOf(call.context)
     if (isNewRequest && !mayBeginNew(call, share)) {
       metrics.count(`turned_away_total{priority="${priority}"}`)
       return turnAway(call, 'refused before it began, as it leads to services that cannot bear more', roomShares === undefined ? 'admission fraction' : 'room share')
     }
     // A share already takes into account what targets refuse.
-    const isThrottled = priority > inProgressPriority && share === 1
-    if (isThrottled && !passesThrottle(throttle, key, priority, random.next(), clock.now())) {
+    const isSubjectToThrottle = priority > inProgressPriority && share === 1
+    if (isSubjectToThrottle && !passesThrottle(throttle, key, priority, random.next(), clock.now())) {
       metrics.count(`throttled_total{priority="${priorities[priority]}"}`)
       return turnAway(call, 'refused early, as targets further down refuse', 'throttle')
     }
@@ -189,7 +194,7 @@
         return finalOutcome(outcome, mayHaveRun)
       }
       const overloaded = outcome.report.shed || (outcome.type === 'answered' && outcome.status === 503)
-      if (isThrottled) recordOutcome(throttle, key, priority, !overloaded, clock.now())
+      if (isSubjectToThrottle) recordOutcome(throttle, key, priority, !overloaded, clock.now())
       if (outcome.type === 'answered') depositRetryToken(retryTokens, service)
       if (outcome.type === 'failed') mayHaveRun = outcome
       tried.add(chosen.node)
--- a/src/core/node/room-shares.ts
+++ b/src/core/node/room-shares.ts
@@ -1,4 +1,4 @@
-import { createBeginnings, createGiver, createStatements, mayBegin, ownShareOf, pruneBeginnings, recordArrival, recordLeaving, recordStart, recordStatement, statedShareOf, updateGiver } from '../shares/index.ts'
+import { createBeginnings, createGiver, createStatements, mayBegin, ownShareOf, pruneBeginnings, recordArrival, recordLeaving, recordStart, recordStatement, reportedCalmMs, reportedShare, statedShareOf, updateGiver } from '../shares/index.ts'
 import type { ClassOf, ClassState, Giver, Leaving } from '../shares/index.ts'
 import type { Environment } from '../peers/index.ts'
 import { inProgressPriority } from './constants.ts'
@@ -7,12 +7,12 @@
 
 const pruneEveryMs = 5000
 
-/** Shortest time for which a state of the room lasts before the log tells that it has changed, in milliseconds. */
-const minStateMs = 1000
-
 /** Most classes whose share is exposed as a metric; classes keep their metric while the process runs. */
 const maxExposedClasses = 64
 
+/** Most classes in a log line. */
+const maxLoggedClasses = 8
+
 /** Requests that are at the node's own target or in its queue. */
 interface Held {
   state: ClassState
@@ -46,12 +46,11 @@
   return outcome?.type === 'refused' && outcome.arrived ? 'refused' : 'ended'
 }
 
-/** Writes a line when the room of the own target becomes short and when it no longer is, and exposes the shares of the classes that were short. */
-function createObserver (giver: Giver, { clock, log, metrics }: Environment) {
+/** Exposes the shares of the classes that have been short. */
+function createExposure (giver: Giver, { metrics }: Environment) {
   const exposed = new Set<string>()
-  let wasShort = false
-  let changedAt = -Infinity
-  const expose = () => {
+  metrics.gauge('room_divided', () => giver.divided)
+  return () => {
     for (const { name, rank, isInProgress, share } of giver.classes.values()) {
       if (share === 1 || exposed.has(name) || exposed.size >= maxExposedClasses) continue
       exposed.add(name)
@@ -60,15 +59,23 @@
       metrics.gauge(`room_demand${labels}`, () => giver.classes.get(name)?.demand ?? 0)
     }
   }
-  metrics.gauge('room_divided', () => giver.divided)
+}
+
+/** Writes a line when the room of the own target becomes short and when there has been room for all for a while. */
+function createStateLog (giver: Giver, { clock, log }: Environment) {
+  let isShort = false
+  let shortAt = -Infinity
   return () => {
-    if (giver.isShort) expose()
     const now = clock.now()
-    if (giver.isShort === wasShort || now - changedAt < minStateMs) return
-    wasShort = giver.isShort
-    changedAt = now
-    const classes = [...giver.classes.values()].map(({ name, share, demand }) => ({ class: name, share: Math.round(100 * share) / 100, demand: Math.round(10 * demand) / 10 }))
-    log.info(wasShort ? 'room of the target is short' : 'room of the target is no longer short', { room: Math.round(10 * giver.divided) / 10, classes: classes.slice(0, maxExposedClasses) })
+    const classes = [...giver.classes.values()]
+    if (giver.isShort) shortAt = now
+    const becomesShort = !isShort && classes.some(({ share }) => share < reportedShare)
+    if (!becomesShort && !(isShort && now - shortAt >= reportedCalmMs)) return
+    isShort = becomesShort
+    const room = Math.round(giver.divided)
+    if (!isShort) return log.info('room of the target is no longer short', { room })
+    const lines = classes.map(({ name, share, demand }) => ({ class: name, share: Math.round(100 * share) / 100, demand: Math.round(demand) }))
+    log.info('room of the target is short', { room, classes: lines.toSorted((a, b) => a.share - b.share).slice(0, maxLoggedClasses) })
   }
 }
 
@@ -79,12 +86,15 @@
   const statements = createStatements()
   const beginnings = createBeginnings()
   const held = new Map<string, Held>()
-  const observe = createObserver(giver, environment)
+  const exposeShares = createExposure(giver, environment)
+  const logState = createStateLog(giver, environment)
   const timer = setInterval(() => pruneBeginnings(beginnings, clock.now()), pruneEveryMs)
   const update = () => {
     const { windowAt } = giver
     updateGiver(giver, room(), clock.now())
-    if (giver.windowAt !== windowAt) observe()
+    if (giver.windowAt === windowAt) return
+    if (giver.isShort) exposeShares()
+    logState()
   }
   const shareOf = (callee: string, rank: number) => statedShareOf(statements, callee, rank, clock.now())
   return {
--- a/src/core/shares/constants.ts
+++ b/src/core/shares/constants.ts
@@ -7,6 +7,12 @@
 /** Time constant of the average time for which a request is held, in milliseconds. */
 export const holdingMemoryMs = 200
 
+/** The same for a class of which few requests end. */
+export const sparseHoldingMemoryMs = 2000
+
+/** Ends in memory from which a class does not count as sparse. */
+export const manyEnds = 20
+
 /** Windows from a share in force until the calls of the requests begun under it are counted. */
 export const feedbackWindows = 3
 
@@ -61,5 +67,11 @@
 /** Most workspaces that are counted for a route at an entry node; further ones are counted together. */
 export const maxWorkspaces = 256
 
+/** Share below which the log tells that a class is short. */
+export const reportedShare = 0.95
+
+/** Time for which there must be room for all before the log says so, in milliseconds. */
+export const reportedCalmMs = 2000
+
 /** Requests by which expected retries may go ahead of the share at an entry node. */
 export const maxAdvance = 2
--- a/src/core/shares/giver.ts
+++ b/src/core/shares/giver.ts
@@ -1,4 +1,4 @@
-import { assumedAccepted, callsPerRequest, dividedFraction, drainMs, feedbackWindows, holdingMemoryMs, maxClasses, maxDrainFraction, minShare, refusalMemoryMs, smoothingMs, toleratedRefusalFraction, windowMs } from './constants.ts'
+import { assumedAccepted, callsPerRequest, dividedFraction, drainMs, feedbackWindows, holdingMemoryMs, manyEnds, maxClasses, maxDrainFraction, minShare, refusalMemoryMs, smoothingMs, sparseHoldingMemoryMs, toleratedRefusalFraction, windowMs } from './constants.ts'
 import { divideRoom } from './divide.ts'
 
 /** Arrivals per ms below which a class without requests is forgotten. */
@@ -153,7 +153,7 @@
 /** Closes the window of a class: updates the demand that there would be if nothing were refused. */
 function measure (state: ClassState, elapsedMs: number, now: number): void {
   integrate(state, now)
-  const decay = Math.exp(-elapsedMs / holdingMemoryMs)
+  const decay = Math.exp(-elapsedMs / (state.endedSum < manyEnds ? sparseHoldingMemoryMs : holdingMemoryMs))
   state.heldSum = state.heldSum * decay + state.held
   state.endedSum = state.endedSum * decay + state.ended
   state.recentShares.push(state.arrived > 0 ? state.heardShares / state.arrived : state.recentShares.at(-1) ?? 1)
--- a/src/core/shares/index.ts
+++ b/src/core/shares/index.ts
@@ -1,5 +1,6 @@
 export { createBeginnings, mayBegin, pruneBeginnings } from './beginnings.ts'
 export type { Beginner, Beginnings } from './beginnings.ts'
+export { reportedCalmMs, reportedShare } from './constants.ts'
 export { divideRoom } from './divide.ts'
 export type { Demand } from './divide.ts'
 export { createGiver, ownShareOf, recordArrival, recordLeaving, recordStart, updateGiver } from './giver.ts'
