--- a/src/core/shares/constants.ts
+++ b/src/core/shares/constants.ts
@@ -19,6 +19,12 @@
 /** Fraction of the room that is divided; the rest takes up the randomness of arrivals. */
 export const dividedFraction = 0.95
 
+/** Work beyond the room from which a target is short, as the time that the whole room needs for it, in milliseconds. A queue takes up less. */
+export const shortAfterMs = 50
+
+/** The same in requests, for targets with little room. */
+export const shortAfterRequests = 6
+
 /** Time within which waiting requests are worked off beside new ones, in milliseconds. */
 export const drainMs = 1000
 
@@ -38,7 +44,7 @@
 export const refusalMemoryMs = 400
 
 /** Calls that are assumed to be accepted beside those counted, so that a few refusals decide nothing. */
-export const assumedAccepted = 2
+export const assumedAccepted = 5
 
 /** Fraction of its calls that a target may refuse before fewer requests are begun. */
 export const toleratedRefusalFraction = 0.1
--- a/src/core/shares/giver.ts
+++ b/src/core/shares/giver.ts
@@ -1,4 +1,4 @@
-import { assumedAccepted, callsPerRequest, dividedFraction, drainMs, feedbackWindows, holdingMemoryMs, manyEnds, maxClasses, maxDrainFraction, minShare, refusalMemoryMs, smoothingMs, sparseHoldingMemoryMs, toleratedRefusalFraction, windowMs } from './constants.ts'
+import { assumedAccepted, callsPerRequest, dividedFraction, drainMs, feedbackWindows, holdingMemoryMs, manyEnds, maxClasses, maxDrainFraction, minShare, refusalMemoryMs, shortAfterMs, shortAfterRequests, smoothingMs, sparseHoldingMemoryMs, toleratedRefusalFraction, windowMs } from './constants.ts'
 import { divideRoom } from './divide.ts'
 
 /** Arrivals per ms below which a class without requests is forgotten. */
@@ -56,6 +56,10 @@
   /** Decayed counts of the requests that the target accepted and refused. */
   accepted: number
   refused: number
+  /** Work asked for beyond the room, in requests held at once times ms, as if nothing were refused. It shrinks while there is room. */
+  excess: number
+  /** True from when `excess` is more than a queue takes up until it is gone. */
+  isDividing: boolean
   /** Room that was divided last, in requests held at once. */
   divided: number
   /** True while the share of some class is below 1. */
@@ -64,7 +68,7 @@
 
 /** Creates the giver of a target that has no requests. */
 export function createGiver (now: number): Giver {
-  return { classes: new Map(), windowAt: now, accepted: 0, refused: 0, divided: 0, isShort: false }
+  return { classes: new Map(), windowAt: now, accepted: 0, refused: 0, excess: 0, isDividing: false, divided: 0, isShort: false }
 }
 
 /** Returns the name of a request's class: direct requests by route and rank, calls of requests in progress by rank. */
@@ -171,6 +175,20 @@
   return Math.min(1, acceptedFraction / (1 - toleratedRefusalFraction)) ** callsPerRequest
 }
 
+/** Updates whether more is asked for than a queue takes up. Chance makes demand exceed the room for moments long before it does so in the mean. */
+function updateExcess (giver: Giver, elapsedMs: number): void {
+  let [demand, arrivals] = [0, 0]
+  for (const state of giver.classes.values()) {
+    demand += state.demand
+    arrivals += state.demand === 0 ? 0 : state.demand / holdingMsOf(state)
+  }
+  const requestWork = arrivals === 0 ? 0 : demand / arrivals
+  const most = giver.divided * shortAfterMs + shortAfterRequests * requestWork
+  giver.excess = Math.min(2 * most, Math.max(0, giver.excess + (demand - giver.divided) * elapsedMs))
+  if (giver.excess >= most) giver.isDividing = true
+  else if (giver.excess === 0) giver.isDividing = false
+}
+
 /** Closes the window that has ended, if any, and divides the room anew. `room` is the number of requests that the target works on well at once. */
 export function updateGiver (giver: Giver, room: number, now: number): void {
   const elapsedMs = now - giver.windowAt
@@ -186,8 +204,9 @@
   giver.accepted *= decay
   giver.refused *= decay
   giver.divided = dividedFraction * room - Math.min(backlog / drainMs, maxDrainFraction * room)
+  updateExcess(giver, elapsedMs)
   const states = [...giver.classes.values()]
-  const fractions = divideRoom(states.map(({ rank, demand }) => ({ rank, amount: demand })), giver.divided)
+  const fractions = giver.isDividing ? divideRoom(states.map(({ rank, demand }) => ({ rank, amount: demand })), giver.divided) : states.map(() => 1)
   const completed = completedFraction(giver)
   giver.isShort = false
   for (const [index, state] of states.entries()) {
--- a/test/shares/loads.test.ts
+++ b/test/shares/loads.test.ts
@@ -125,3 +125,12 @@
   assert.ok(played.shares('many', 0, 15).every((share) => share === 1))
   assert.equal(served(played, 'many', 0, 13), 1)
 })
+
+test('targets of few slots at 0.8 of their room: chance alone makes nobody wait for a share', () => {
+  const routes = [{ ...eightCalls(0), rate: () => rateFor(0.6, 8, 8) }, { ...direct(0, 0), rate: () => rateFor(0.2, 1, 8) }]
+  const played = play({ slots: 8, routes, seconds: 40 })
+  for (const { name } of routes) {
+    const { begun, offered } = played.tally(name, 0, 38)
+    assert.equal(begun, offered)
+  }
+})
