Room and speed of a target found out by its node, and placement by them

Cause: routing weighed targets by announced slots and by latencies that include calls further down, and kept to the own failure domain until a target there was at 0.9 of its load. Change: src/core/room finds out working requests, working time by kind, speed and knee from starts and ends of requests and calls. Reports state room and workMs. A call goes to targets in proportion to what they complete per ms times their free room, own failure domain first; explainChoice shows why. Off with roomPlacement=false. Nothing is chosen differently where no target has stated anything.

--- a/src/core/log/events.ts
+++ b/src/core/log/events.ts
@@ -155,6 +155,23 @@
 /** Fields of an event. */
 export type EventFields<Name extends EventName> = NonNullable<(typeof requestEvents)[Name]['fields']>
 
+/** Events on the node's own target. */
+export const targetEvents = {
+  /** The room or the speed of the target has changed by more than a quarter since the last such line. */
+  roomChanged: defineEvent<{
+    service: string | null
+    instance: string | null
+    /** Requests that the target works on well at once, its announced slots, and those on which it works now. */
+    room: number
+    slots: number
+    working: number
+    /** Speed relative to its mean over the last minute: 0.5 when everything takes twice as long. */
+    speed: number
+    /** Room and speed in the last such line. */
+    before: { room: number, speed: number }
+  }>({ name: 'room_changed', message: 'room or speed of the target changed', level: 'info', volume: { lines: 2, bytes: 1024 } })
+} as const
+
 /** Events on how a revision of the configuration reaches a process. Times are in ms, revisions count changes. */
 export const revisionEvents = {
   /** The process learned that a newer revision than its own is in force. */
--- a/src/core/node/attempts.ts
+++ b/src/core/node/attempts.ts
@@ -8,7 +8,7 @@
 import type { Environment, Peers } from '../peers/index.ts'
 import { createRetryTokens, depositRetryToken, releaseBudget, reserveBudget, mayRetry, divideFleetRetries, consumeAttempt, takeRetryToken } from '../retries/index.ts'
 import type { Budget } from '../retries/index.ts'
-import { chooseTarget, createKnownStops, createTargetStats, recordAnswer, recordFailure, statsOf } from '../routing/index.ts'
+import { chooseTarget, createKnownStops, createTargetStats, recordAnswer, recordFailure, recordStart, recordStatement, statsOf } from '../routing/index.ts'
 import { inProgressPriority } from './constants.ts'
 import type { Decisions, TurnAway } from './decisions.ts'
 import { createDurations } from './durations.ts'
@@ -57,6 +57,8 @@
   forwarder: Forwarder
   /** Retries per service that all nodes together may make in a short time beyond a tenth of the successes. */
   fleetRetries: number
+  /** Whether calls are placed by the room that targets state. */
+  roomPlacement: boolean
   reportedFractions: ReportedFractions
   /** Returns false for an attempt that this node no longer begins because it stops. */
   mayBegin: (attempt: StoppingRequest) => boolean
@@ -67,7 +69,7 @@
 }
 
 /** Creates the part of a node that calls targets. */
-export function createCallSender ({ peers, server, forwarder, fleetRetries, reportedFractions, mayBegin, drainMs, decisions, environment }: SendContext): CallSender {
+export function createCallSender ({ peers, server, forwarder, fleetRetries, roomPlacement, reportedFractions, mayBegin, drainMs, decisions, environment }: SendContext): CallSender {
   const { clock, random, metrics } = environment
   const statsByNode = createTargetStats()
   const retryTokens = createRetryTokens()
@@ -97,7 +99,7 @@
     const startedAt = clock.now()
     const reserved = reserveBudget(budget)
     const attempt: Call = { ...call, context: { ...call.context, attempt: randomId(), budget: reserved, waitMs } }
-    stats.inFlight++
+    recordStart(stats, startedAt)
     const outcome = endpoint.node === id ? await server.serve(attempt, sink) : await forwarder.forward(endpoint.address, attempt, reserved, sink)
     stats.inFlight--
     releaseBudget(budget, reserved, outcome.report.used)
@@ -107,6 +109,7 @@
   const recordAttempt = (callee: string, outcome: AttemptOutcome, endpoint: Endpoint, latencyMs: number) => {
     const stats = statsOf(statsByNode, endpoint.node)
     const now = clock.now()
+    if (roomPlacement) recordStatement(stats.statements, callee, outcome.report, now)
     if (outcome.report.share !== undefined) recordReportedFraction(reportedFractions, callee, endpoint.node, outcome.report.share, now)
     metrics.count(`attempts_total{outcome="${outcome.type}"}`)
     if (outcome.type === 'answered') return recordAnswer(stats, latencyMs, outcome.report.load, now)
@@ -153,7 +156,7 @@
     const waitLeft = () => call.context.waitMs === undefined || mayHaveRun !== undefined ? undefined : call.context.waitMs - (clock.now() - startedAt)
     while (true) {
       const all = findEndpoints(service)
-      const chosen = chooseTarget(statsByNode, findCandidates(all), peers.self().domain, clock.now(), random) as Endpoint | undefined
+      const chosen = chooseTarget(statsByNode, findCandidates(all), peers.self().domain, clock.now(), random, roomPlacement ? calleeKey(call.context) : undefined) as Endpoint | undefined
       if (chosen === undefined) return mayHaveRun ?? createRefusal(fail('noTarget', { service }), false)
       const attemptedAt = clock.now()
       const outcome = await attemptOnce(next, budget, chosen, sink, waitLeft())
--- a/src/core/node/entry.ts
+++ b/src/core/node/entry.ts
@@ -121,7 +121,8 @@
   })
   if (!context.recordBegun(response)) return refundRate(arrival, context)
   const budget = createBudget(call.context.budget)
-  const outcome = await context.callSender.send(call, budget, sink)
+  const recordCallEnd = inProgress ? context.meter?.startCall() : undefined
+  const outcome = await context.callSender.send(call, budget, sink).finally(recordCallEnd)
   if (outcome.type === 'refused') refundRate(arrival, context)
   metrics.time('call', clock.now() - arrivedAt)
   metrics.count(`calls_total{outcome="${outcome.type}"}`)
--- a/src/core/node/filters.ts
+++ b/src/core/node/filters.ts
@@ -4,6 +4,7 @@
 import type { Outcome } from '../errors/index.ts'
 import type { Environment, Peers } from '../peers/index.ts'
 import type { RateClient } from '../rate/client.ts'
+import type { RoomMeter } from '../room/index.ts'
 import type { CallSender } from './attempts.ts'
 import { readBody } from './body.ts'
 import type { ReadBody } from './body.ts'
@@ -54,6 +55,8 @@
   findKeyFailure: KeyCheck
   /** Returns false for a request that this node no longer begins because it stops. */
   mayBegin: (request: StoppingRequest) => boolean
+  /** Counts the calls of the node's own target in its room; undefined where the room is not used. */
+  meter: RoomMeter | undefined
   /** Returns true while the node's own target works on a request. */
   isTargetWorking: () => boolean
   /** Records that a request was passed on and may run from now on. Returns false for one that has been answered meanwhile. */
--- a/src/core/node/gate.ts
+++ b/src/core/node/gate.ts
@@ -1,6 +1,8 @@
 import { createAdmission, createAdmissionFraction, finish, loadOf, nextSweepAt, offer, recordInProgressWait, recordInProgressRefusal, updateAdmissionFraction, sweepAdmission, removeWaiting } from '../admission/index.ts'
 import type { Admission, AdmissionDecision, QueuedRequest, FinishedRequest, ShedReason } from '../admission/index.ts'
 import type { Clock } from '../clock/index.ts'
+import { createRoomMeter } from '../room/index.ts'
+import type { RoomMeter } from '../room/index.ts'
 import { inProgressPriority, maxSweepMs, minSweepMs } from './constants.ts'
 
 /** Whether a request may run at the target. */
@@ -15,9 +17,17 @@
   cancel: (id: string) => void
   /** Removes all waiting requests, because the node stops, and returns their number. */
   removeWaiting: () => number
+  /**
+   * Returns the larger of two loads: the requests on which the target works over its room, and those at it, some of which wait for calls of their own,
+   * over its limit. Both include the waiting ones.
+   */
   load: () => number
   running: () => number
   limit: () => number
+  /** Returns the number of requests that the target works on well at once: at most the limit, and equal to it where the room is not used. */
+  room: () => number
+  /** Finds out the room of the target from its requests; undefined where the room is not used. */
+  meter: RoomMeter | undefined
   /**
    * Returns the admission fraction, 0 to 1. For calls of requests in progress it also falls when the target
    * refuses such calls, because a refused call fails the request that it belongs to.
@@ -32,8 +42,9 @@
   close: () => void
 }
 
-/** Creates the gate of a target with `slots`. An adaptive limit may stay below the slots. */
-export function createGate (slots: number, clock: Clock, isAdaptive: boolean): Gate {
+/** Creates the gate of a target with `slots`. An adaptive limit may stay below the slots. With `usesRoom` the load counts by the room that is found out. */
+export function createGate (slots: number, clock: Clock, isAdaptive: boolean, usesRoom = false): Gate {
+  const meter = usesRoom ? createRoomMeter(slots, clock) : undefined
   let admission: Admission = createAdmission(slots, clock.now(), isAdaptive)
   const newRequestFraction = createAdmissionFraction(clock.now())
   const inProgressFraction = createAdmissionFraction(clock.now())
@@ -73,6 +84,8 @@
     timer = setTimeout(sweep, Math.min(dueAt - now, maxSweepMs))
   }
   return {
+    meter,
+    room: () => meter === undefined ? admission.limit.value : Math.min(admission.limit.value, meter.state().room),
     enter (entry) {
       let result: Admittance | undefined
       const resolveNow = (admittance: Admittance) => {
@@ -95,7 +108,11 @@
       for (const id of removed) resolveWaiting(id, { type: 'shed', reason: 'stopping' })
       return removed.length
     },
-    load: () => loadOf(admission),
+    load () {
+      if (meter === undefined) return loadOf(admission)
+      const { room, working } = meter.state()
+      return Math.max(loadOf(admission), (working + admission.queue.length) / room)
+    },
     running: () => admission.running,
     limit: () => admission.limit.value,
     admissionFraction (priority) {
@@ -107,11 +124,13 @@
       if (priority <= inProgressPriority) recordInProgressRefusal(inProgressFraction, clock.now())
     },
     reset (next) {
+      meter?.restart(next)
       const fresh = createAdmission(next, clock.now(), isAdaptive)
       admission = { ...fresh, running: admission.running, queue: admission.queue }
       sweep()
     },
     resize (next) {
+      meter?.resize(next)
       admission.limit.slots = next
       admission.limit.value = isAdaptive ? Math.min(admission.limit.value, next) : next
       sweep()
--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -34,6 +34,7 @@
 import { createPipeline } from './pipeline.ts'
 import type { PipelineOptions } from './pipeline.ts'
 import { createRefusals } from './refusals.ts'
+import { watchRoom } from './room-log.ts'
 import { createRunningRequests, giveUpRunning } from './running.ts'
 import { createKeyCheck } from './key-check.ts'
 import { createCallServer } from './serve.ts'
@@ -105,10 +106,10 @@
 /** Starts a node. */
 export async function startNode (options: NodeOptions, environment: Environment, hash: Hash): Promise<Node> {
   const { clock, log, metrics, random } = environment
-  const { id, domain, peer: address, seeds, secrets, dialect = defaultDialect, strictKeys = true, drainMs = Infinity, adaptiveLimit = true } = options
+  const { id, domain, peer: address, seeds, secrets, dialect = defaultDialect, strictKeys = true, drainMs = Infinity, adaptiveLimit = true, roomPlacement = true } = options
   const keepAliveMs = options.keepAliveMs ?? callerKeepAliveMs
   const peers = await createPeers({ id, boot: randomId(), role: 'node', domain, address, seeds, secrets }, environment)
-  const target = createOwnTarget(peers, environment, { drainMs, adaptiveLimit })
+  const target = createOwnTarget(peers, environment, { drainMs, adaptiveLimit, usesRoom: roomPlacement })
   const spans = createSpans()
   const dependencies = createDependencies(clock)
   const reportedFractions = createReportedFractions()
@@ -128,7 +129,7 @@
     if (member.status !== 'alive') forwarder.probeNode(member.address)
   })
   const callSender = createCallSender({
-    peers, server, forwarder, fleetRetries: options.fleetRetries ?? Infinity, reportedFractions, mayBegin, drainMs, decisions, environment
+    peers, server, forwarder, fleetRetries: options.fleetRetries ?? Infinity, roomPlacement, reportedFractions, mayBegin, drainMs, decisions, environment
   })
   peers.onMemberChange((member) => {
     if (member.leaving === true || member.target?.state === 'leaving') callSender.refreshMembers()
@@ -142,7 +143,7 @@
     return true
   }
   const isTargetWorking = () => server.running() > 0
-  const entryContext = { dialect, dependencies, peers, directory, rates, callSender, refusals, bodyBudget, findKeyFailure, mayBegin, isTargetWorking, recordBegun, decisions, environment }
+  const entryContext = { dialect, dependencies, peers, directory, rates, callSender, refusals, bodyBudget, findKeyFailure, mayBegin, meter: target.gate.meter, isTargetWorking, recordBegun, decisions, environment }
   const outgoingContext = { dialect, dependencies, findKeyFailure, peers, directory, spans, callSender, refusals, bodyBudget, mayBegin, recordBegun, decisions, environment }
   const backlog = createBacklog(clock)
   const running = createRunningRequests(clock)
@@ -202,6 +203,7 @@
   metrics.gauge('bodies_held_bytes', bodyBudget.usedBytes)
   metrics.gauge('running', () => target.gate.running())
   metrics.gauge('limit', () => target.gate.limit())
+  const roomLog = watchRoom(id, target, environment)
   log.info('node started', { id, domain, listen: listenAddress, peer: peers.address, local: localAddress })
 
   /** Reports to the leader which configuration revision this node applies, for `status`. */
@@ -254,6 +256,7 @@
       await readArrived() // Calls of other nodes that lie unread are refused.
       peerSessions.close()
       clearInterval(reportTimer)
+      roomLog.close()
       rates.close()
       callSender.close()
       claimHolder.close()
--- a/src/core/node/serve.ts
+++ b/src/core/node/serve.ts
@@ -7,6 +7,7 @@
 import type { Environment, Peers } from '../peers/index.ts'
 import { reportedFractionOf } from '../admission/index.ts'
 import type { ReportedFractions } from '../admission/index.ts'
+import type { RequestResult } from '../room/index.ts'
 import type { CrashReporter } from './crashes.ts'
 import type { Decisions } from './decisions.ts'
 import { sendExchange } from './exchange.ts'
@@ -30,6 +31,9 @@
 /** Status of a target that is not the intended one (misdirected request). */
 const misdirectedStatus = 421
 
+/** Lowest status of an answer that says that the target failed. */
+const firstServerErrorStatus = 500
+
 /** Serves calls with the node's own target. */
 export interface CallServer {
   serve: (call: Call, sink: Sink) => Promise<AttemptOutcome>
@@ -76,6 +80,13 @@
   return reason === 'stopping' ? fail('leaving') : fail('overloaded', { service, reason })
 }
 
+/** Returns how a request ended at the target, for the target's room. Without a sample it was cancelled or never got there. */
+function resultOf (sample: { failed: boolean } | undefined, status: number, isRefused: boolean): RequestResult {
+  if (sample === undefined) return 'cancelled'
+  if (isRefused) return 'refused'
+  return sample.failed || status >= firstServerErrorStatus ? 'failed' : 'good'
+}
+
 /** Creates the part of a node that serves calls with its own target. */
 export function createCallServer (context: ServeContext): CallServer {
   const { dialect, findKeyFailure, mayBegin, peers, target, claims, crashes, spans, dependencies, reportedFractions, decisions, environment } = context
@@ -92,10 +103,19 @@
     const needed = dependencies.neededCallees(route).map((callee) => reportedFractionOf(reportedFractions, callee, now))
     return Math.round(1000 * Math.min(target.gate.admissionFraction(priority), ...needed)) / 1000
   }
-  const createReport = (call: Call, span?: Span): Report => ({ used: span?.budget.used ?? 0, load: target.gate.load(), shed: span?.shed ?? false, share: admissionFraction(call.context) })
+  /** Returns what this node states about the room of its target; nothing where it has no such target. */
+  const roomStatement = ({ context }: Call): Pick<Report, 'room' | 'workMs'> => {
+    const { gate } = target
+    if (gate.meter === undefined || target.current()?.service !== context.service) return {}
+    const workMs = gate.meter.workingMs(context.route)
+    return workMs === undefined ? { room: gate.room() } : { room: gate.room(), workMs: Math.round(workMs * 100) / 100 }
+  }
+  const createReport = (call: Call, span?: Span): Report => ({
+    used: span?.budget.used ?? 0, load: target.gate.load(), shed: span?.shed ?? false, share: admissionFraction(call.context), ...roomStatement(call)
+  })
   const createRefusal = (call: Call, failure: Failure, elsewhere: boolean, arrived = false): AttemptOutcome => {
     const shed = failure.code === 'overloaded' || arrived
-    return { type: 'refused', failure, elsewhere, arrived, report: { ...emptyReport, load: target.gate.load(), shed, share: admissionFraction(call.context) } }
+    return { type: 'refused', failure, elsewhere, arrived, report: { ...emptyReport, load: target.gate.load(), shed, share: admissionFraction(call.context), ...roomStatement(call) } }
   }
   const createFailure = (call: Call, failure: Failure, crashed: boolean, span?: Span): AttemptOutcome => ({ type: 'failed', failure, crashed, report: createReport(call, span) })
 
@@ -219,8 +239,10 @@
     let answerHeaders: string[] = []
     running++
     dependencies.recordStart(call.context.route)
+    span.meter = target.gate.meter?.startRequest(call.context.route)
     const closeRun = (sample: { failed: boolean } | undefined) => {
       running--
+      span.meter?.end(resultOf(sample, status, targetRefused))
       dependencies.recordEnd(call.context.route)
       const latencyMs = clock.now() - startedAt - span.outgoingMs
       target.gate.exit(sample && { kind: call.context.route, latencyMs, failed: sample.failed })
--- a/src/core/node/spans.ts
+++ b/src/core/node/spans.ts
@@ -1,6 +1,7 @@
 import { randomId } from '../auth/index.ts'
 import { createBudget } from '../retries/index.ts'
 import type { Budget } from '../retries/index.ts'
+import type { RequestMeter } from '../room/index.ts'
 import type { Cancellation, CallContext } from './types.ts'
 import { createCancellation } from './types.ts'
 
@@ -22,6 +23,8 @@
   outgoingSince: number
   /** True when an outgoing call was refused for overload. */
   shed: boolean
+  /** Counts the request in the room of the target; undefined where the room is not used. */
+  meter: RequestMeter | undefined
 }
 
 /**
@@ -50,7 +53,8 @@
         outgoingMs: 0,
         outgoingRunning: 0,
         outgoingSince: 0,
-        shed: false
+        shed: false,
+        meter: undefined
       }
       spans.set(span.token, span)
       return span
@@ -68,12 +72,14 @@
 export function recordOutgoingStart (span: Span, now: number): void {
   if (span.outgoingRunning === 0) span.outgoingSince = now
   span.outgoingRunning++
+  span.meter?.startCall()
 }
 
 /** Records that an outgoing call ended. */
 export function recordOutgoingEnd (span: Span, now: number): void {
   span.outgoingRunning--
   if (span.outgoingRunning === 0) span.outgoingMs += now - span.outgoingSince
+  span.meter?.endCall()
 }
 
 /** Returns the number of this occurrence of an outgoing call within its span, from 0, and counts it. */
--- a/src/core/node/target.ts
+++ b/src/core/node/target.ts
@@ -72,6 +72,8 @@
   drainMs: number
   /** Whether the concurrency limit adapts below the announced slots. */
   adaptiveLimit: boolean
+  /** Whether the room of the target is found out and used. Default: false. */
+  usesRoom?: boolean
 }
 
 /** State of the node's own target, from its announcements and its connections. */
@@ -109,7 +111,7 @@
 
 /** Creates the state of a target that has not announced itself yet. */
 export function createOwnTarget (peers: Peers, { clock, log }: Environment, options: OwnTargetOptions): OwnTarget {
-  const gate = createGate(1, clock, options.adaptiveLimit)
+  const gate = createGate(1, clock, options.adaptiveLimit, options.usesRoom)
   const order = createAnnouncementOrder(announcementLifeMs)
   let target: Target | undefined
   let lastAnnouncement: Announcement | undefined
--- a/src/core/routing/choice.ts
+++ b/src/core/routing/choice.ts
@@ -1,4 +1,8 @@
 import type { Random } from '../random/index.ts'
+import { weighPlaces } from './placement.ts'
+import type { PlaceWeight } from './placement.ts'
+import { createStatements, statementOf } from './statements.ts'
+import type { Statements } from './statements.ts'
 
 /** Consecutive failures after which a target is ejected. */
 const failuresToEject = 3
@@ -16,6 +20,13 @@
 /** Time constant of the decay of a reported load, in milliseconds. */
 const loadDecayMs = 1000
 
+/** Time constant of the mean of reported loads, in milliseconds. Weights that followed each report would swing, as it is known late. */
+const meanLoadMs = 200
+
+/** Time without an end of any call after which a target counts as silent: this many milliseconds and mean latencies. */
+const shortestSilenceMs = 50
+const silenceLatencies = 3
+
 /** Weight of a new latency in the moving average. */
 const latencyWeight = 0.1
 
@@ -34,6 +45,14 @@
   /** Load reported by the target's node, and when it was reported. */
   load: number
   loadAt: number
+  /** Mean of the reported loads over a short time. */
+  meanLoad: number
+  /** Calls under way when the load was reported: the load includes them. */
+  inFlightAtReport: number
+  /** Time since which calls are under way without any of them ending. */
+  silentSince: number
+  /** What the target's node stated about its room. */
+  statements: Statements
   failures: number
   ejections: number
   ejectedUntil: number
@@ -47,26 +66,45 @@
   return new Map()
 }
 
+/** Statistics of a target to which nothing was sent. */
+const unknownStats: Readonly<TargetStats> = createStats()
+
 /** Returns the statistics of a target; those of a new target are empty. */
 export function statsOf (statsByNode: TargetStatsMap, node: string): TargetStats {
   const known = statsByNode.get(node)
   if (known !== undefined) return known
-  const created: TargetStats = { inFlight: 0, latencyMs: 0, load: 0, loadAt: 0, failures: 0, ejections: 0, ejectedUntil: -Infinity }
+  const created = createStats()
   statsByNode.set(node, created)
   return created
 }
 
+function createStats (): TargetStats {
+  return {
+    inFlight: 0, latencyMs: 0, load: 0, loadAt: -Infinity, meanLoad: 0, inFlightAtReport: 0, silentSince: 0, statements: createStatements(), failures: 0, ejections: 0, ejectedUntil: -Infinity
+  }
+}
+
+/** Records the start of a call. */
+export function recordStart (stats: TargetStats, now: number): void {
+  if (stats.inFlight === 0) stats.silentSince = now
+  stats.inFlight++
+}
+
 /** Records a call that ended with an answer, or with a refusal that reports the load of the target. */
 export function recordAnswer (stats: TargetStats, latencyMs: number, load: number, now: number): void {
   stats.latencyMs += latencyWeight * (latencyMs - stats.latencyMs)
+  stats.meanLoad = meanLoadOf(stats, now) + (1 - Math.exp(-(now - stats.loadAt) / meanLoadMs)) * (load - meanLoadOf(stats, now))
   stats.load = load
   stats.loadAt = now
+  stats.inFlightAtReport = stats.inFlight
+  stats.silentSince = now
   stats.failures = 0
   stats.ejections = 0
 }
 
 /** Records a failed call. Consecutive failures eject the target, for longer each time. */
 export function recordFailure (stats: TargetStats, now: number): void {
+  stats.silentSince = now
   stats.failures++
   if (stats.failures < failuresToEject) return
   stats.ejectedUntil = now + Math.min(longestEjectionMs, firstEjectionMs * 2 ** stats.ejections)
@@ -74,14 +112,26 @@
   stats.failures = failuresToEject - 1
 }
 
+function loadDecay ({ loadAt }: TargetStats, now: number): number {
+  return Math.exp(-(now - loadAt) / loadDecayMs)
+}
+
+function meanLoadOf (stats: TargetStats, now: number): number {
+  return stats.meanLoad * loadDecay(stats, now)
+}
+
+/** Returns the time for which calls of this node to a target have been under way without any of them ending, in ms. */
+function silentMsOf ({ inFlight, silentSince }: TargetStats, now: number): number {
+  return inFlight > 0 ? now - silentSince : 0
+}
+
 function currentLoad (stats: TargetStats, candidate: Candidate, now: number): number {
-  const decayedLoad = stats.load * Math.exp(-(now - stats.loadAt) / loadDecayMs)
-  return Math.max(decayedLoad, stats.inFlight / candidate.slots)
+  return Math.max(stats.load * loadDecay(stats, now), stats.inFlight / candidate.slots)
 }
 
 /** Returns the candidates that are not ejected, or all of them when too many are ejected. */
 function withoutEjected (statsByNode: TargetStatsMap, candidates: readonly Candidate[], now: number): readonly Candidate[] {
-  const available = candidates.filter(({ node }) => statsOf(statsByNode, node).ejectedUntil <= now)
+  const available = candidates.filter(({ node }) => (statsByNode.get(node)?.ejectedUntil ?? -Infinity) <= now)
   return available.length >= candidates.length * (1 - maxEjectedFraction) && available.length > 0 ? available : candidates
 }
 
@@ -99,14 +149,63 @@
   return (currentLoad(stats, candidate, now) + 1 / candidate.slots) * (stats.latencyMs + 1)
 }
 
+/** Weighs the candidates for a callee, each named by service and route. Returns undefined when none of them has stated its room. */
+function weighCandidates (
+  statsByNode: TargetStatsMap, candidates: readonly Candidate[], ownDomain: string, callee: string, now: number
+): PlaceWeight[] | undefined {
+  return weighPlaces(candidates.map(({ node, domain, slots }) => {
+    const stats = statsByNode.get(node) ?? unknownStats
+    const load = Math.max(meanLoadOf(stats, now), Math.min(stats.inFlight, stats.inFlightAtReport) / slots)
+    const newCalls = Math.max(0, stats.inFlight - stats.inFlightAtReport)
+    const silence = silentMsOf(stats, now) / (shortestSilenceMs + silenceLatencies * stats.latencyMs)
+    return { isLocal: domain === ownDomain, slots, load, newCalls, silence, statement: statementOf(stats.statements, callee, now) }
+  }))
+}
+
+function pickByWeight (candidates: readonly Candidate[], weights: readonly PlaceWeight[], random: Random): Candidate {
+  let rest = random.next()
+  for (const [index, { weight }] of weights.entries()) {
+    rest -= weight
+    if (rest < 0) return candidates[index]
+  }
+  return candidates[weights.findLastIndex(({ weight }) => weight > 0)]
+}
+
+/** Why a target would be chosen, or not. */
+export interface ChoiceExplanation extends PlaceWeight {
+  node: string
+  domain: string
+  /** Age of what its node stated about this callee, in ms; undefined when it has stated nothing. */
+  ageMs: number | undefined
+  isEjected: boolean
+}
+
+/** Explains the choice of a target for a callee, and changes nothing. Returns undefined where the better of two random targets is chosen, as nothing is known. */
+export function explainChoice (
+  statsByNode: TargetStatsMap, candidates: readonly Candidate[], ownDomain: string, callee: string, now: number
+): ChoiceExplanation[] | undefined {
+  const available = withoutEjected(statsByNode, candidates, now)
+  const weights = weighCandidates(statsByNode, available, ownDomain, callee, now)
+  const all = weights && weighCandidates(statsByNode, candidates, ownDomain, callee, now)
+  return all?.map((place, index) => {
+    const { node, domain } = candidates[index]
+    const weight = weights?.[available.indexOf(candidates[index])]?.weight ?? 0
+    const { statements, ejectedUntil } = statsByNode.get(node) ?? unknownStats
+    return { ...place, node, domain, weight, ageMs: statementOf(statements, callee, now)?.ageMs, isEjected: ejectedUntil > now }
+  })
+}
+
 /**
- * Chooses a target: the better of two random ones in this node's failure domain. When that one is loaded,
+ * Chooses a target. Where targets have stated their room for the callee, they are weighed by it; a call without a callee is placed without statements.
+ * Otherwise: the better of two random ones in this node's failure domain. When that one is loaded,
  * compares it with the better of two in other failure domains and chooses the less loaded.
  */
 export function chooseTarget (
-  statsByNode: TargetStatsMap, candidates: readonly Candidate[], ownDomain: string, now: number, random: Random
+  statsByNode: TargetStatsMap, candidates: readonly Candidate[], ownDomain: string, now: number, random: Random, callee?: string
 ): Candidate | undefined {
   const available = withoutEjected(statsByNode, candidates, now)
+  const weights = callee === undefined ? undefined : weighCandidates(statsByNode, available, ownDomain, callee, now)
+  if (weights !== undefined) return pickByWeight(available, weights, random)
   const local = available.filter((candidate) => candidate.domain === ownDomain)
   const bestLocal = betterOfTwo(statsByNode, local, now, random)
   if (bestLocal !== undefined && currentLoad(statsOf(statsByNode, bestLocal.node), bestLocal, now) < overflowLoad) return bestLocal
--- a/src/core/routing/index.ts
+++ b/src/core/routing/index.ts
@@ -1,4 +1,5 @@
-export { chooseTarget, createTargetStats, recordAnswer, recordFailure, statsOf } from './choice.ts'
+export { chooseTarget, createTargetStats, explainChoice, recordAnswer, recordFailure, recordStart, statsOf } from './choice.ts'
 export { createKnownStops } from './known-stops.ts'
 export type { KnownStop, KnownStops } from './known-stops.ts'
-export type { Candidate, TargetStats, TargetStatsMap } from './choice.ts'
+export { recordStatement } from './statements.ts'
+export type { Candidate, ChoiceExplanation, TargetStats, TargetStatsMap } from './choice.ts'
--- a/test/node/attempts.test.ts
+++ b/test/node/attempts.test.ts
@@ -42,6 +42,7 @@
     server: {} as CallServer,
     forwarder: { forward } as unknown as Forwarder,
     fleetRetries: Infinity,
+    roomPlacement: true,
     reportedFractions: createReportedFractions(),
     mayBegin,
     drainMs: Infinity,
--- a/test/node/decisions.test.ts
+++ b/test/node/decisions.test.ts
@@ -133,7 +133,7 @@
   const refused: AttemptOutcome = { type: 'refused', failure: fail('noTarget', { service: 's' }), elsewhere: true, arrived: false, report: emptyReport }
   const forwarder: Forwarder = { forward: async () => refused, probeNode () {}, close () {} }
   const sender = createCallSender({
-    peers, server: {} as CallServer, forwarder, fleetRetries: Infinity, reportedFractions: fractions, mayBegin: () => true, drainMs: Infinity, decisions, environment
+    peers, server: {} as CallServer, forwarder, fleetRetries: Infinity, roomPlacement: true, reportedFractions: fractions, mayBegin: () => true, drainMs: Infinity, decisions, environment
   })
   await sender.send(createCall(), createBudget(1), {} as Sink)
   recordReportedFraction(fractions, calleeKey({ service: 's', route: 'r' }), 'n-2', 0, systemClock.now())
