Target with all slots in use states a little less, so that its knee can be found

Cause: a target pinned at its slots shows no knee, and stays slow because of it. Change: until its curve is known it states one level less than its slots while all of them are in use; the gate stays at the slots. Result: test/room 16 pass.

--- a/src/core/room/curve.ts
+++ b/src/core/room/curve.ts
@@ -31,6 +31,9 @@
 /** Windows by which the part above a knee and the part below it must be known. */
 const minEvidence = 5
 
+/** Windows by which the highest level and the others must be known, so that a target with all slots in use need not be explored. */
+const knownEvidence = 30
+
 /** Smallest separation of these parts: square of the slow-down times the windows by which their difference is known. Working times of few requests scatter. */
 const minSeparation = 0.3
 
@@ -158,6 +161,14 @@
   return best
 }
 
+/** Lower bound of the highest level, as a fraction of the slots. */
+export const highestBound = lowerBound(levelCount - 1)
+
+/** Returns true when it is known whether the target is slower with all slots in use. */
+export function isCurveKnown ({ levels }: Curve): boolean {
+  return meanOf(levels.slice(0, -1)).evidence >= knownEvidence && levels[levelCount - 1].evidence >= knownEvidence
+}
+
 /**
  * Returns the fraction of the slots from which the target is lastingly slower, 1 when there is none. A target that completes more requests above that
  * fraction than below it, although each takes longer, has none either.
--- a/src/core/room/room.ts
+++ b/src/core/room/room.ts
@@ -1,4 +1,4 @@
-import { createCurve, currentWindow, findKnee, recordWorkingTime, updateCurve } from './curve.ts'
+import { createCurve, currentWindow, findKnee, highestBound, isCurveKnown, recordWorkingTime, updateCurve } from './curve.ts'
 import type { Curve, Window } from './curve.ts'
 import { callFractionOf, changeActive, closeInterval, createWork, kindOf, meanWorkingMs, speedOf, usualMsOf, workingMsOf } from './work.ts'
 import type { Kind, Work } from './work.ts'
@@ -10,6 +10,10 @@
 const startFraction = 0.5
 const slowStartMs = 1000
 
+/** Time constant of the mean of working requests, in milliseconds, and the part of the slots from which they count as all in use. */
+const workingDecayMs = 500
+const fullFraction = 0.97
+
 /** Largest part of a kind's time in calls that cannot be attributed for which the working time of a single request is known well enough for the curve. */
 const maxCallFraction = 0.1
 
@@ -45,13 +49,16 @@
   at: number
   intervalAt: number
   callMs: number
+  /** Integral over the working requests since the start of the interval, in ms, and their mean over a short time. */
+  workingMs: number
+  meanWorking: number
   work: Work
   curve: Curve
 }
 
 /** Creates the room of a target that has just started. */
 export function createTargetRoom (slots: number, now: number): TargetRoom {
-  return { slots, startedAt: now, process: 0, active: 0, calls: 0, at: now, intervalAt: now, callMs: 0, work: createWork(), curve: createCurve(now) }
+  return { slots, startedAt: now, process: 0, active: 0, calls: 0, at: now, intervalAt: now, callMs: 0, workingMs: 0, meanWorking: 0, work: createWork(), curve: createCurve(now) }
 }
 
 /** Forgets everything about the target's previous process. Its requests that have not ended count no more; its calls do until they end. */
@@ -74,11 +81,14 @@
 
 function advance (room: TargetRoom, now: number): void {
   room.callMs += Math.min(room.active, room.calls) * (now - room.at)
+  room.workingMs += workingRequests(room) * (now - room.at)
   room.at = now
   const elapsedMs = now - room.intervalAt
   if (elapsedMs < intervalMs) return
   closeInterval(room.work, elapsedMs, room.callMs, now)
   updateCurve(room.curve, meanWorkingMs(room.work), now)
+  room.meanWorking += (1 - Math.exp(-elapsedMs / workingDecayMs)) * (room.workingMs / elapsedMs - room.meanWorking)
+  room.workingMs = 0
   room.callMs = 0
   room.intervalAt = now
 }
@@ -153,10 +163,18 @@
   isStarting: boolean
 }
 
+/**
+ * Returns the fraction of the slots up to which the target is to be used, so that its curve becomes known. A target whose slots are all in use all the time
+ * shows no knee. With a little less asked of it, its queue empties, and the number of its working requests begins to vary.
+ */
+function explorationBound ({ meanWorking, slots, curve }: TargetRoom): number {
+  return meanWorking >= fullFraction * slots && !isCurveKnown(curve) ? highestBound : 1
+}
+
 /** Returns the room of the target now. */
 export function stateRoom (room: TargetRoom, now: number): RoomStatement {
   advance(room, now)
-  const knee = findKnee(room.curve)
+  const knee = Math.min(findKnee(room.curve), explorationBound(room))
   const belowKnee = knee < 1 ? Math.ceil(knee * room.slots - 1e-9) - 1 : room.slots
   const started = Math.min(1, startFraction + (1 - startFraction) * (now - room.startedAt) / slowStartMs)
   return {
