--- a/src/core/room/curve.ts
+++ b/src/core/room/curve.ts
@@ -72,7 +72,10 @@
   levels: Level[]
   /** Windows whose requests may still run, the oldest first. New requests belong to the last one. */
   windows: Window[]
-  isKneeFound: boolean
+  /** Fraction of the slots from which the target is lastingly slower, 1 when there is none. */
+  knee: number
+  /** True when it is known whether the target is slower with all slots in use. */
+  isKnown: boolean
 }
 
 function createWindow (now: number): Window {
@@ -81,7 +84,7 @@
 
 /** Creates an empty curve. */
 export function createCurve (now: number): Curve {
-  return { levels: Array.from({ length: levelCount }, () => ({ offset: 0, evidence: 0 })), windows: [createWindow(now)], isKneeFound: false }
+  return { levels: Array.from({ length: levelCount }, () => ({ offset: 0, evidence: 0 })), windows: [createWindow(now)], knee: 1, isKnown: false }
 }
 
 function lowerBound (level: number): number {
@@ -113,10 +116,12 @@
   for (const level of levels) level.evidence *= decay
   windows.push(createWindow(now))
   while (windows.length > maxPending || now - windows[0].startedAt > windowMs + completeAfterWorkingTimes * meanMs) {
-    if (windows.length === 1) return
+    if (windows.length === 1) break
     const [oldest] = windows.splice(0, 1)
     compareLevels(levels, oldest)
   }
+  curve.knee = findKnee(levels, curve.knee < 1)
+  curve.isKnown = meanOf(levels.slice(0, -1)).evidence >= knownEvidence && levels[levelCount - 1].evidence >= knownEvidence
 }
 
 function compareLevels (levels: readonly Level[], { sums }: Window): void {
@@ -164,18 +169,12 @@
 /** Lower bound of the highest level, as a fraction of the slots. */
 export const highestBound = lowerBound(levelCount - 1)
 
-/** Returns true when it is known whether the target is slower with all slots in use. */
-export function isCurveKnown ({ levels }: Curve): boolean {
-  return meanOf(levels.slice(0, -1)).evidence >= knownEvidence && levels[levelCount - 1].evidence >= knownEvidence
-}
-
 /**
  * Returns the fraction of the slots from which the target is lastingly slower, 1 when there is none. A target that completes more requests above that
  * fraction than below it, although each takes longer, has none either.
  */
-export function findKnee (curve: Curve): number {
-  const step = findStep(curve.levels)
-  const threshold = curve.isKneeFound ? lostSlowdown : foundSlowdown
-  curve.isKneeFound = step !== undefined && step.slowdown >= threshold && step.bound >= Math.exp(-step.slowdown)
-  return curve.isKneeFound && step !== undefined ? step.bound : 1
+function findKnee (levels: readonly Level[], wasFound: boolean): number {
+  const step = findStep(levels)
+  if (step === undefined || step.slowdown < (wasFound ? lostSlowdown : foundSlowdown)) return 1
+  return step.bound >= Math.exp(-step.slowdown) ? step.bound : 1
 }
--- a/src/core/room/room.ts
+++ b/src/core/room/room.ts
@@ -1,4 +1,4 @@
-import { createCurve, currentWindow, findKnee, highestBound, isCurveKnown, recordWorkingTime, updateCurve } from './curve.ts'
+import { createCurve, currentWindow, highestBound, recordWorkingTime, updateCurve } from './curve.ts'
 import type { Curve, Window } from './curve.ts'
 import { callFractionOf, changeActive, closeInterval, createWork, kindOf, meanWorkingMs, speedOf, usualMsOf, workingMsOf } from './work.ts'
 import type { Kind, Work } from './work.ts'
@@ -168,13 +168,13 @@
  * shows no knee. With a little less asked of it, its queue empties, and the number of its working requests begins to vary.
  */
 function explorationBound ({ meanWorking, slots, curve }: TargetRoom): number {
-  return meanWorking >= fullFraction * slots && !isCurveKnown(curve) ? highestBound : 1
+  return meanWorking >= fullFraction * slots && !curve.isKnown ? highestBound : 1
 }
 
 /** Returns the room of the target now. */
 export function stateRoom (room: TargetRoom, now: number): RoomStatement {
   advance(room, now)
-  const knee = Math.min(findKnee(room.curve), explorationBound(room))
+  const knee = Math.min(room.curve.knee, explorationBound(room))
   const belowKnee = knee < 1 ? Math.ceil(knee * room.slots - 1e-9) - 1 : room.slots
   const started = Math.min(1, startFraction + (1 - startFraction) * (now - room.startedAt) / slowStartMs)
   return {
--- a/test/node/gate.test.ts
+++ b/test/node/gate.test.ts
@@ -16,3 +16,40 @@
   assert.equal(gate.running(), 1)
   gate.close()
 })
+
+/** Creates a gate on a clock that the test moves. */
+function createMovedGate (usesRoom: boolean) {
+  const time = { now: 0 }
+  return { time, gate: createGate(10, { now: () => time.now, date: () => new Date() }, false, usesRoom) }
+}
+
+test('load counts by the room, which is half of the slots just after a start', async () => {
+  const { time, gate } = createMovedGate(true)
+  assert.deepEqual(await gate.enter({ ...entry('a'), arrivedAt: 0 }), { type: 'started' })
+  const request = gate.meter?.startRequest('r')
+  assert.deepEqual([gate.room(), gate.load(), gate.limit()], [5, 0.2, 10])
+  time.now = 2000
+  assert.deepEqual([gate.room(), gate.load()], [10, 0.1])
+  request?.end('good')
+  gate.reset(20)
+  assert.deepEqual([gate.room(), gate.limit()], [10, 20])
+  gate.close()
+})
+
+test('requests that wait for calls of their own take slots, and no room', async () => {
+  const { time, gate } = createMovedGate(true)
+  time.now = 2000
+  assert.deepEqual(await gate.enter({ ...entry('a'), arrivedAt: 0 }), { type: 'started' })
+  gate.meter?.startRequest('r')
+  const endCall = gate.meter?.startCall()
+  assert.deepEqual([gate.meter?.state().working, gate.load()], [0, 0.1])
+  endCall?.()
+  assert.equal(gate.meter?.state().working, 1)
+  gate.close()
+})
+
+test('without the setting the room is the limit', () => {
+  const { gate } = createMovedGate(false)
+  assert.deepEqual([gate.room(), gate.meter], [10, undefined])
+  gate.close()
+})
--- a/test/room/room.test.ts
+++ b/test/room/room.test.ts
@@ -23,8 +23,7 @@
 function kneeTimes (load: Load, untilMs: number): number[] {
   const times: number[] = []
   runTarget(load, untilMs, (room, now) => {
-    stateRoom(room, now)
-    if (room.curve.isKneeFound) times.push(now)
+    if (room.curve.knee < 1) times.push(now)
   })
   return times
 }
@@ -59,7 +58,7 @@
   for (const seed of seeds) {
     const { rate, record } = followStatements(300)
     const room = runTarget(steady(0, { seed, rate, slowdown: (fraction) => fraction > 0.95 - 1e-9 ? 1.3 : 1 }), 30_000, record)
-    assert.equal(room.curve.isKneeFound, true)
+    assertClose(room.curve.knee, 0.95, 1e-9)
   }
 })
 
