Working time that calls hide is not stated

Cause: where a target makes several calls of one request at a time, calls under way exceed its requests, and the working time seemed to be next to nothing. Change: from 0.9 of a kind's time in calls on nothing is stated for it; its calls are placed as before.

--- a/src/core/node/serve.ts
+++ b/src/core/node/serve.ts
@@ -108,7 +108,7 @@
     const { gate } = target
     if (gate.meter === undefined || target.current()?.service !== context.service) return {}
     const workMs = gate.meter.workingMs(context.route)
-    return workMs === undefined ? { room: gate.room() } : { room: gate.room(), workMs: Math.round(workMs * 100) / 100 }
+    return workMs === undefined ? { room: gate.room() } : { room: gate.room(), workMs: Math.max(0.01, Math.round(workMs * 100) / 100) }
   }
   const createReport = (call: Call, span?: Span): Report => ({
     used: span?.budget.used ?? 0, load: target.gate.load(), shed: span?.shed ?? false, share: admissionFraction(call.context), ...roomStatement(call)
--- a/src/core/room/work.ts
+++ b/src/core/room/work.ts
@@ -20,6 +20,9 @@
 /** Largest part of the time of a kind that counts as time in its calls. */
 const maxCallFraction = 0.98
 
+/** Part of the time of a kind in calls from which its working time is not known: with several calls of a request at a time nothing of it would be left. */
+const unknownCallFraction = 0.9
+
 /** Step with which the part of its time that a kind spends in calls is learnt in each interval. */
 const callLearningRate = 0.03
 
@@ -100,9 +103,10 @@
   return totalMs <= 0 ? 0 : Math.min(maxCallFraction, callMs / totalMs)
 }
 
-/** Returns the mean working time of a kind over a long time in ms; undefined until some of its requests have ended. */
+/** Returns the mean working time of a kind over a long time in ms; undefined until some of its requests have ended, and where calls hide it. */
 export function usualMsOf (kind: Kind): number | undefined {
-  return kind.completions < minCompletions ? undefined : kind.totalMs * (1 - callFractionOf(kind)) / kind.completions
+  if (kind.completions < minCompletions || callFractionOf(kind) > unknownCallFraction) return undefined
+  return kind.totalMs * (1 - callFractionOf(kind)) / kind.completions
 }
 
 /** Returns the speed of the target relative to its mean over a longer time: 1 as usual, 0.5 when everything takes twice as long. */
--- a/test/room/room.test.ts
+++ b/test/room/room.test.ts
@@ -178,6 +178,17 @@
   }
 })
 
+test('working time is not stated where several calls of a request at a time hide it', () => {
+  const room = createTargetRoom(slots, 0)
+  for (let now = 0; now < 20_000; now += 100) {
+    const request = startRequest(room, 'a', now)
+    for (let call = 0; call < 4; call++) startCall(room, undefined, now + 1)
+    for (let call = 0; call < 4; call++) endCall(room, undefined, now + 97)
+    endRequest(room, request, 'good', now + 99)
+  }
+  assert.equal(workingTimeOf(room, 'a', 20_000), undefined)
+})
+
 test('more calls than requests are no negative work', () => {
   const room = createTargetRoom(slots, 0)
   const request = startRequest(room, 'a', 0)
