Fractions reported for different priorities of a route are kept apart

Cause: where requests wait by rank, a target reports a fraction for each rank of new requests, but a node that calls it kept one value by service and route. Workspaces of different priority share routes: the fraction of the lower one was applied to the better one and the reverse, whichever was reported last. Change: with ranked waiting, reported fractions are kept by service, route and priority. A request's own callees are looked up under its priority and that of calls in progress. Without ranked waiting the key is the same as before, which the test checks.

--- a/src/core/node/attempts.ts
+++ b/src/core/node/attempts.ts
@@ -18,7 +18,7 @@
 import type { Forwarder } from './forward.ts'
 import type { CallServer } from './serve.ts'
 import type { StoppingRequest } from './stop.ts'
-import { calleeKey, callEndOf, emptyReport } from './types.ts'
+import { calleeKey, callEndOf, emptyReport, fractionKey } from './types.ts'
 import type { AttemptOutcome, Call, CallContext, Sink } from './types.ts'
 
 /** Maximum number of endpoints tried for one attempt while nodes refuse it before their targets receive it. */
@@ -58,6 +58,8 @@
   /** Retries per service that all nodes together may make in a short time beyond a tenth of the successes. */
   fleetRetries: number
   reportedFractions: ReportedFractions
+  /** Whether requests wait by the rank of the caller's request that they belong to. Targets then report a fraction for each priority. Default: false. */
+  rankedWaiting?: boolean
   /** Returns false for an attempt that this node no longer begins because it stops. */
   mayBegin: (attempt: StoppingRequest) => boolean
   /** Time for which a target that leaves by itself still gets requests, in ms. */
@@ -67,7 +69,7 @@
 }
 
 /** Creates the part of a node that calls targets. */
-export function createCallSender ({ peers, server, forwarder, fleetRetries, reportedFractions, mayBegin, drainMs, decisions, environment }: SendContext): CallSender {
+export function createCallSender ({ peers, server, forwarder, fleetRetries, reportedFractions, rankedWaiting = false, mayBegin, drainMs, decisions, environment }: SendContext): CallSender {
   const { clock, random, metrics } = environment
   const statsByNode = createTargetStats()
   const retryTokens = createRetryTokens()
@@ -91,6 +93,7 @@
     refreshMembers()
     return endpoints.get(service)
   }
+  const fractionKeyOf = ({ context }: Call) => fractionKey(calleeKey(context), context.priority, rankedWaiting)
   const attemptOnce = async (call: Call, budget: Budget, endpoint: Endpoint, sink: Sink, waitMs: number | undefined): Promise<AttemptOutcome> => {
     const { id } = peers.self()
     const stats = statsOf(statsByNode, endpoint.node)
@@ -101,13 +104,13 @@
     const outcome = endpoint.node === id ? await server.serve(attempt, sink) : await forwarder.forward(endpoint.address, attempt, reserved, sink)
     stats.inFlight--
     releaseBudget(budget, reserved, outcome.report.used)
-    recordAttempt(calleeKey(call.context), outcome, endpoint, clock.now() - startedAt)
+    recordAttempt(fractionKeyOf(call), outcome, endpoint, clock.now() - startedAt)
     return outcome
   }
-  const recordAttempt = (callee: string, outcome: AttemptOutcome, endpoint: Endpoint, latencyMs: number) => {
+  const recordAttempt = (key: string, outcome: AttemptOutcome, endpoint: Endpoint, latencyMs: number) => {
     const stats = statsOf(statsByNode, endpoint.node)
     const now = clock.now()
-    if (outcome.report.share !== undefined) recordReportedFraction(reportedFractions, callee, endpoint.node, outcome.report.share, now)
+    if (outcome.report.share !== undefined) recordReportedFraction(reportedFractions, key, endpoint.node, outcome.report.share, now)
     metrics.count(`attempts_total{outcome="${outcome.type}"}`)
     if (outcome.type === 'answered') return recordAnswer(stats, latencyMs, outcome.report.load, now)
     const unreachable = outcome.type === 'refused' && outcome.failure.code === 'noTarget'
@@ -126,7 +129,7 @@
     mayBegin({ source: 'caller', timeoutMs: deadlineAt - clock.now(), longestMs: durations.longest(calleeKey(context)) })
   const turnAway = (call: Call, reason: string, rule: TurnAway['rule']): AttemptOutcome => {
     const failure = fail('overloaded', { service: call.context.service, reason })
-    decisions.turnAway(call, failure, { rule, fraction: reportedFractionOf(reportedFractions, calleeKey(call.context), clock.now()) })
+    decisions.turnAway(call, failure, { rule, fraction: reportedFractionOf(reportedFractions, fractionKeyOf(call), clock.now()) })
     return createRefusal(failure, true)
   }
   const throttleKey = ({ context }: Call) => `${context.template}/${context.route}/${context.workspace ?? ''}/${context.priority}`
@@ -135,7 +138,7 @@
     const { service, priority } = call.context
     const key = throttleKey(call)
     const isNewRequest = priority > inProgressPriority && call.context.depth === 0
-    if (isNewRequest && !isAdmitted(reportedFractionOf(reportedFractions, calleeKey(call.context), clock.now()), priority, random.next(), call.isExpectedRetry)) {
+    if (isNewRequest && !isAdmitted(reportedFractionOf(reportedFractions, fractionKeyOf(call), clock.now()), priority, random.next(), call.isExpectedRetry)) {
       metrics.count(`turned_away_total{priority="${priority}"}`)
       return turnAway(call, 'refused before it began, as it leads to services that cannot bear more', 'admission fraction')
     }
--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -124,13 +124,13 @@
   const findKeyFailure = createKeyCheck(peers, clock, { configuredBy: dialect.configuredBy, strict: strictKeys })
   const crashes = createCrashReporter(peers, target, environment)
   const mayBegin = (request: StoppingRequest) => beginsDuring(stop, request, clock.now())
-  const server = createCallServer({ dialect, findKeyFailure, mayBegin, dependencies, reportedFractions, peers, target, claims, crashes, spans, decisions, environment })
+  const server = createCallServer({ dialect, findKeyFailure, mayBegin, dependencies, reportedFractions, rankedWaiting, peers, target, claims, crashes, spans, decisions, environment })
   const forwarder = createForwarder(peers, environment)
   peers.onMemberChange((member) => {
     if (member.status !== 'alive') forwarder.probeNode(member.address)
   })
   const callSender = createCallSender({
-    peers, server, forwarder, fleetRetries: options.fleetRetries ?? Infinity, reportedFractions, mayBegin, drainMs, decisions, environment
+    peers, server, forwarder, fleetRetries: options.fleetRetries ?? Infinity, reportedFractions, rankedWaiting, mayBegin, drainMs, decisions, environment
   })
   peers.onMemberChange((member) => {
     if (member.leaving === true || member.target?.state === 'leaving') callSender.refreshMembers()
--- a/src/core/node/serve.ts
+++ b/src/core/node/serve.ts
@@ -25,7 +25,7 @@
 import type { Span, Spans } from './spans.ts'
 import type { StoppingRequest } from './stop.ts'
 import type { OwnTarget } from './target.ts'
-import { callEndOf, emptyReport, firstErrorStatus } from './types.ts'
+import { callEndOf, emptyReport, firstErrorStatus, fractionKey } from './types.ts'
 import type { AttemptOutcome, Call, CallContext, Report, Sink } from './types.ts'
 
 /** Highest rank with a label of its own in the metrics; it includes those above. */
@@ -54,6 +54,8 @@
   dependencies: Dependencies
   /** Admission fractions reported by other services' nodes. */
   reportedFractions: ReportedFractions
+  /** Whether requests wait by the rank of the caller's request that they belong to. Targets then report a fraction for each priority. Default: false. */
+  rankedWaiting?: boolean
   decisions: Decisions
   environment: Environment
 }
@@ -105,7 +107,7 @@
 
 /** Creates the part of a node that serves calls with its own target. */
 export function createCallServer (context: ServeContext): CallServer {
-  const { dialect, findKeyFailure, mayBegin, peers, target, claims, crashes, spans, dependencies, reportedFractions, decisions, environment } = context
+  const { dialect, findKeyFailure, mayBegin, peers, target, claims, crashes, spans, dependencies, reportedFractions, rankedWaiting = false, decisions, environment } = context
   const { clock, metrics } = environment
   const suspectQueue = createSerialQueue()
   const refusedIds = createRefusedIds(clock)
@@ -113,10 +115,15 @@
   let running = 0
   let echoesRequestId = false
 
+  /** Returns the fraction reported for a callee. Calls that a request makes bear its priority, or that of calls in progress where targets do not name it. */
+  const reportedFraction = (callee: string, priority: number, now: number): number => {
+    const keys = [priority, inProgressPriority].map((each) => fractionKey(callee, each, rankedWaiting))
+    return Math.min(...keys.map((key) => reportedFractionOf(reportedFractions, key, now)))
+  }
   /** Returns the smallest of the target's admission fraction and those of the callees that the call's route needs downstream. */
   const admissionFraction = ({ route, priority }: CallContext): number => {
     const now = clock.now()
-    const needed = dependencies.neededCallees(route).map((callee) => reportedFractionOf(reportedFractions, callee, now))
+    const needed = dependencies.neededCallees(route).map((callee) => reportedFraction(callee, priority, now))
     return Math.round(1000 * Math.min(target.gate.admissionFraction(priority, needed.length > 0), ...needed)) / 1000
   }
   const createReport = (call: Call, span?: Span): Report => ({ used: span?.budget.used ?? 0, load: target.gate.load(), shed: span?.shed ?? false, share: admissionFraction(call.context) })
--- a/src/core/node/types.ts
+++ b/src/core/node/types.ts
@@ -48,6 +48,11 @@
   return `${service}/${route}`
 }
 
+/** Returns the key of the admission fractions that are reported for calls to a callee. Where requests wait by rank, each priority has its own. */
+export function fractionKey (callee: string, priority: number, rankedWaiting: boolean): string {
+  return rankedWaiting ? `${callee} ${priority}` : callee
+}
+
 /** One call at one node. */
 export interface Call {
   context: CallContext
--- a/test/node/attempts.test.ts
+++ b/test/node/attempts.test.ts
@@ -7,10 +7,11 @@
 import type { Member } from '../../src/core/membership/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
 import { createCallSender } from '../../src/core/node/attempts.ts'
+import type { SendContext } from '../../src/core/node/attempts.ts'
 import type { Forwarder } from '../../src/core/node/forward.ts'
 import type { CallServer } from '../../src/core/node/serve.ts'
 import { createCancellation, emptyReport } from '../../src/core/node/types.ts'
-import type { AttemptOutcome, Call, Sink } from '../../src/core/node/types.ts'
+import type { AttemptOutcome, Call, CallContext, Sink } from '../../src/core/node/types.ts'
 import type { Peers } from '../../src/core/peers/index.ts'
 import { createRandom } from '../../src/core/random/index.ts'
 import { createBudget } from '../../src/core/retries/index.ts'
@@ -25,33 +26,40 @@
   return { id, startedAt: 0, boot: id, incarnation: 0, status: 'alive', role: 'node', domain: 'd', address: id, target }
 }
 
-/** Sends one call with five extra attempts; `outcomesOf` gives the outcomes of each node's attempts in order. Returns the outcome, the nodes tried and the budget left. */
-async function send (outcomesOf: Record<string, AttemptOutcome[]>, idempotent: boolean, waitMs?: number, mayBegin = () => true) {
-  const nodes: string[] = []
-  const waits: Array<number | undefined> = []
-  const forward = async (node: string, { context }: Call) => {
-    nodes.push(node)
-    waits.push(context.waitMs)
-    return outcomesOf[node].shift() ?? answered
-  }
-  const members = Object.keys(outcomesOf).map(member)
+/** Creates the sender of a node whose calls to the nodes `ids` end as `forward` says. */
+function createSender (ids: string[], forward: (node: string, call: Call) => Promise<AttemptOutcome>, options: Pick<SendContext, 'mayBegin'> & Partial<SendContext>) {
+  const members = ids.map(member)
   const peers = { self: () => member('entry'), members: () => members, reportUnreachable () {} } as unknown as Peers
-  const environment = { clock: systemClock, random: createRandom(1), log: silentLog, metrics: createMetrics() }
-  const sender = createCallSender({
+  return createCallSender({
     peers,
     server: {} as CallServer,
     forwarder: { forward } as unknown as Forwarder,
     fleetRetries: Infinity,
     reportedFractions: createReportedFractions(),
-    mayBegin,
     drainMs: Infinity,
     decisions: createSilentDecisions(),
-    environment
+    environment: { clock: systemClock, random: createRandom(1), log: silentLog, metrics: createMetrics() },
+    ...options
   })
-  const context = { service: 's', route: 'r', template: 't', workspace: null, priority: 2, depth: 0, idempotent, suspect: false, waitMs }
-  const call = { context, deadlineAt: systemClock.now() + 1000, cancellation: createCancellation() } as unknown as Call
+}
+
+function createCall (fields: Partial<CallContext>): Call {
+  const context = { service: 's', route: 'r', template: 't', workspace: null, priority: 2, depth: 0, idempotent: true, suspect: false, ...fields }
+  return { context, deadlineAt: systemClock.now() + 1000, cancellation: createCancellation() } as unknown as Call
+}
+
+/** Sends one call with five extra attempts; `outcomesOf` gives the outcomes of each node's attempts in order. Returns the outcome, the nodes tried and the budget left. */
+async function send (outcomesOf: Record<string, AttemptOutcome[]>, idempotent: boolean, waitMs?: number, mayBegin = () => true) {
+  const nodes: string[] = []
+  const waits: Array<number | undefined> = []
+  const forward = async (node: string, { context }: Call) => {
+    nodes.push(node)
+    waits.push(context.waitMs)
+    return outcomesOf[node].shift() ?? answered
+  }
+  const sender = createSender(Object.keys(outcomesOf), forward, { mayBegin })
   const budget = createBudget(5)
-  const outcome = await sender.send(call, budget, {} as Sink)
+  const outcome = await sender.send(createCall({ idempotent, waitMs }), budget, {} as Sink)
   sender.close()
   return { outcome, nodes, waits, budget }
 }
@@ -87,3 +95,18 @@
   const failedOnce = await send({ a: [failed], b: [failed] }, true, undefined, () => false)
   assert.deepEqual([failedOnce.outcome, failedOnce.nodes.length], [failed, 1])
 })
+
+/** Sends requests of one route at a target that admits those of rank 0 only, and returns how each of these ranks ended. */
+async function sendRanks (ranks: number[], rankedWaiting: boolean): Promise<string[]> {
+  const forward = async (_: string, { context }: Call): Promise<AttemptOutcome> => ({ ...answered, report: { ...emptyReport, share: context.priority === 0 ? 1 : 0 } })
+  const sender = createSender(['a'], forward, { mayBegin: () => true, rankedWaiting })
+  const ends: string[] = []
+  for (const priority of ranks) ends.push((await sender.send(createCall({ priority, rank: priority }), createBudget(0), {} as Sink)).type)
+  sender.close()
+  return ends
+}
+
+test('where requests wait by rank, the fraction reported for one rank of a route is not applied to another', async () => {
+  assert.deepEqual(await sendRanks([3, 0, 3, 0], true), ['answered', 'answered', 'refused', 'answered'])
+  assert.deepEqual(await sendRanks([3, 0, 3, 0], false), ['answered', 'refused', 'refused', 'refused'])
+})
