Each way in which a call ends is checked for the slot that it holds as a waiting request

Change: the tests of the call server run with ranked waiting and with requests that all count as making calls, and check at their end that none is still known as a holder. New: requests refused after they took a slot, one cancelled before and one whose claim came too late.

--- a/test/node/serve.test.ts
+++ b/test/node/serve.test.ts
@@ -120,14 +120,16 @@
     callback(...result)
   })
   const pool = new Pool(origin, { connections: 1, pipelining: 1, connect })
-  const gate = createGate(8, systemClock, true)
+  const gate = createGate(8, systemClock, true, true)
   const target = createRawTarget(pool, gate, origin)
   const peers = { freshness: createFreshness(), configuration: emptyConfiguration } as unknown as Peers
   const environment = { clock: systemClock, random: createRandom(1), log, metrics: createMetrics() }
   const requestLog = createRequestLog('n', log, environment.metrics, systemClock)
   const decisions = createDecisions({ requestLog, dialect, target, clock: systemClock, directory: { limitOf: () => undefined }, rates: {} as RateClient, revision: () => 1, stop: () => undefined })
+  /** Every request counts as one that makes calls, so that each has to be released as a holder of a slot too. */
+  const dependencies = { ...createDependencies(systemClock), neededCallees: () => ['callee/r'] }
   const crashes = { recordCompletion () {}, checkForCrash: async () => false, recordAbandoned: (fingerprint: string) => void abandoned.push(fingerprint), close () {} }
-  const server = createCallServer({ dependencies: createDependencies(systemClock), reportedFractions: createReportedFractions(), dialect, findKeyFailure: () => undefined, mayBegin: () => true, peers, target, claims: claims as ClaimClient, crashes, spans: createSpans(), decisions, environment })
+  const server = createCallServer({ dependencies, reportedFractions: createReportedFractions(), dialect, findKeyFailure: () => undefined, mayBegin: () => true, peers, target, claims: claims as ClaimClient, crashes, spans: createSpans(), decisions, environment })
   try {
     await use(async (id, context = {}, received = createReceived(), leavesAfterMs = Infinity) => {
       const call = createCall(id)
@@ -136,6 +138,8 @@
       return { outcome, received }
     }, connections)
     assert.equal(gate.running(), 0, 'every slot was released')
+    gate.callStarted()
+    assert.equal(gate.waitingSlots(), 0, 'no request is still known as a holder of a slot')
   } finally {
     gate.close()
     await pool.destroy()
@@ -557,6 +561,27 @@
   ])
 })
 
+test('a request that is refused after it has taken a slot releases it', async () => {
+  const released: unknown[] = []
+  const claims: Partial<ClaimClient> = {
+    async acquire () {
+      await pause(timeoutMs + 50)
+      return { type: 'granted', claim: { request: {} as ClaimRequest } }
+    },
+    release: (claim) => void released.push(claim)
+  }
+  const answers: Answer = (request, socket) => void setTimeout(() => socket.write(completeAnswer(idOf(request))), 100)
+  await withTarget(answers, async (serve) => {
+    const [first, left, late] = await Promise.all([
+      serve('first', { suspect: true }),
+      serve('left', { suspect: true }, createReceived(), 20),
+      serve('late', needsClaim)
+    ])
+    assert.deepEqual([first.outcome.type, left.outcome.type, late.outcome.type], ['answered', 'refused', 'refused'])
+    assert.deepEqual([left.received.status, late.received.status, released.length], [0, 0, 1])
+  }, defaultDialect, claims)
+})
+
 test('a request that its target has begun and goes on with is kept for the report of a crash, whoever ended the exchange', async () => {
   const abandoned: string[] = []
   const answers: Answer = (request, socket) => idOf(request) === 'answered' && void socket.write(completeAnswer('a'))
