--- a/src/core/node/attempts.ts
+++ b/src/core/node/attempts.ts
@@ -19,7 +19,7 @@
 import type { RoomShares } from './room-shares.ts'
 import type { CallServer } from './serve.ts'
 import type { StoppingRequest } from './stop.ts'
-import { calleeKey, callEndOf, emptyReport } from './types.ts'
+import { calleeKey, callEndOf, emptyReport, fractionKey } from './types.ts'
 import type { AttemptOutcome, Call, CallContext, Sink } from './types.ts'
 
 /** Maximum number of endpoints tried for one attempt while nodes refuse it before their targets receive it. */
@@ -63,6 +63,8 @@
   reportedFractions: ReportedFractions
   /** Shares of the room; undefined where admission fractions decide in their place. */
   roomShares?: RoomShares
+  /** Whether requests wait by the rank of the caller's request that they belong to. Targets then report a fraction for each priority. Default: false. */
+  rankedWaiting?: boolean
   /** Returns false for an attempt that this node no longer begins because it stops. */
   mayBegin: (attempt: StoppingRequest) => boolean
   /** Time for which a target that leaves by itself still gets requests, in ms. */
@@ -72,7 +74,9 @@
 }
 
 /** Creates the part of a node that calls targets. */
-export function createCallSender ({ peers, server, forwarder, fleetRetries, roomPlacement, reportedFractions, roomShares, mayBegin, drainMs, decisions, environment }: SendContext): CallSender {
+export function createCallSender ({
+  peers, server, forwarder, fleetRetries, roomPlacement, reportedFractions, roomShares, rankedWaiting = false, mayBegin, drainMs, decisions, environment
+}: SendContext): CallSender {
   const { clock, random, metrics } = environment
   const statsByNode = createTargetStats()
   const retryTokens = createRetryTokens()
@@ -96,6 +100,7 @@
     refreshMembers()
     return endpoints.get(service)
   }
+  const fractionKeyOf = (callContext: CallContext) => fractionKey(calleeKey(callContext), callContext.priority, rankedWaiting)
   const attemptOnce = async (call: Call, budget: Budget, endpoint: Endpoint, sink: Sink, waitMs: number | undefined): Promise<AttemptOutcome> => {
     const { id } = peers.self()
     const stats = statsOf(statsByNode, endpoint.node)
@@ -121,7 +126,7 @@
       if (outcome.type !== 'refused' || outcome.failure.code !== 'noTarget') roomShares.recordReport(callContext, node, report)
       return
     }
-    if (report.share !== undefined) recordReportedFraction(reportedFractions, calleeKey(callContext), node, report.share, clock.now())
+    if (report.share !== undefined) recordReportedFraction(reportedFractions, fractionKeyOf(callContext), node, report.share, clock.now())
   }
   const recordAttempt = (callContext: CallContext, outcome: AttemptOutcome, endpoint: Endpoint, latencyMs: number) => {
     const stats = statsOf(statsByNode, endpoint.node)
@@ -145,14 +150,14 @@
   /** Returns true when a new request of a caller is begun, by the share of the room or the admission fraction that its callee states. */
   const mayBeginNew = (call: Call, share: number): boolean => {
     if (roomShares !== undefined) return share === 1 || roomShares.mayBegin(call, share)
-    const fraction = reportedFractionOf(reportedFractions, calleeKey(call.context), clock.now())
+    const fraction = reportedFractionOf(reportedFractions, fractionKeyOf(call.context), clock.now())
     return isAdmitted(fraction, call.context.priority, random.next(), call.isExpectedRetry)
   }
   const mayBeginAnother = ({ context, deadlineAt }: Call): boolean =>
     mayBegin({ source: 'caller', timeoutMs: deadlineAt - clock.now(), longestMs: durations.longest(calleeKey(context)) })
   const turnAway = (call: Call, reason: string, rule: TurnAway['rule']): AttemptOutcome => {
     const failure = fail('overloaded', { service: call.context.service, reason })
-    const fraction = roomShares === undefined ? reportedFractionOf(reportedFractions, calleeKey(call.context), clock.now()) : shareOf(call.context)
+    const fraction = roomShares === undefined ? reportedFractionOf(reportedFractions, fractionKeyOf(call.context), clock.now()) : shareOf(call.context)
     decisions.turnAway(call, failure, { rule, fraction })
     return createRefusal(failure, true)
   }
--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -128,13 +128,13 @@
   const findKeyFailure = createKeyCheck(peers, clock, { configuredBy: dialect.configuredBy, strict: strictKeys })
   const crashes = createCrashReporter(peers, target, environment)
   const mayBegin = (request: StoppingRequest) => beginsDuring(stop, request, clock.now())
-  const server = createCallServer({ dialect, findKeyFailure, mayBegin, dependencies, reportedFractions, roomShares, peers, target, claims, crashes, spans, decisions, environment })
+  const server = createCallServer({ dialect, findKeyFailure, mayBegin, dependencies, reportedFractions, roomShares, rankedWaiting, peers, target, claims, crashes, spans, decisions, environment })
   const forwarder = createForwarder(peers, environment)
   peers.onMemberChange((member) => {
     if (member.status !== 'alive') forwarder.probeNode(member.address)
   })
   const callSender = createCallSender({
-    peers, server, forwarder, fleetRetries: options.fleetRetries ?? Infinity, roomPlacement, reportedFractions, roomShares, mayBegin, drainMs, decisions, environment
+    peers, server, forwarder, fleetRetries: options.fleetRetries ?? Infinity, roomPlacement, reportedFractions, roomShares, rankedWaiting, mayBegin, drainMs, decisions, environment
   })
   peers.onMemberChange((member) => {
     if (member.leaving === true || member.target?.state === 'leaving') callSender.refreshMembers()
--- a/src/core/node/serve.ts
+++ b/src/core/node/serve.ts
@@ -26,7 +26,7 @@
 import type { Span, Spans } from './spans.ts'
 import type { StoppingRequest } from './stop.ts'
 import type { OwnTarget } from './target.ts'
-import { callEndOf, emptyReport, firstErrorStatus } from './types.ts'
+import { callEndOf, emptyReport, firstErrorStatus, fractionKey } from './types.ts'
 import type { AttemptOutcome, Call, CallContext, Report, Sink } from './types.ts'
 
 /** Highest rank with a label of its own in the metrics; it includes those above. */
@@ -60,6 +60,8 @@
   reportedFractions: ReportedFractions
   /** Shares of the room; undefined where admission fractions are stated in their place. */
   roomShares?: RoomShares
+  /** Whether requests wait by the rank of the caller's request that they belong to. Targets then report a fraction for each priority. Default: false. */
+  rankedWaiting?: boolean
   decisions: Decisions
   environment: Environment
 }
@@ -118,7 +120,7 @@
 
 /** Creates the part of a node that serves calls with its own target. */
 export function createCallServer (context: ServeContext): CallServer {
-  const { dialect, findKeyFailure, mayBegin, peers, target, claims, crashes, spans, dependencies, reportedFractions, roomShares, decisions, environment } = context
+  const { dialect, findKeyFailure, mayBegin, peers, target, claims, crashes, spans, dependencies, reportedFractions, roomShares, rankedWaiting = false, decisions, environment } = context
   const { clock, metrics } = environment
   const suspectQueue = createSerialQueue()
   const refusedIds = createRefusedIds(clock)
@@ -126,13 +128,18 @@
   let running = 0
   let echoesRequestId = false
 
+  /** Returns the fraction reported for a callee. Calls that a request makes bear its priority, or that of calls in progress where targets do not name it. */
+  const reportedFraction = (callee: string, priority: number, now: number): number => {
+    const keys = [priority, inProgressPriority].map((each) => fractionKey(callee, each, rankedWaiting))
+    return Math.min(...keys.map((key) => reportedFractionOf(reportedFractions, key, now)))
+  }
   /** Returns the smallest of the target's share or admission fraction and those of the callees that the call's route needs downstream. */
   const statedShare = (callContext: CallContext): number => {
     const { route, priority } = callContext
     const now = clock.now()
     const callees = dependencies.neededCallees(route)
     if (roomShares !== undefined) return roomShares.stateShare(callContext, callees)
-    const needed = callees.map((callee) => reportedFractionOf(reportedFractions, callee, now))
+    const needed = callees.map((callee) => reportedFraction(callee, priority, now))
     return Math.round(1000 * Math.min(target.gate.admissionFraction(priority, needed.length > 0), ...needed)) / 1000
   }
   /** Returns what this node states about the room of its target; nothing where it has no such target. */
--- a/test/node/gate.test.ts
+++ b/test/node/gate.test.ts
@@ -20,7 +20,7 @@
 /** Creates a gate on a clock that the test moves. */
 function createMovedGate (usesRoom: boolean) {
   const time = { now: 0 }
-  return { time, gate: createGate(10, { now: () => time.now, date: () => new Date() }, false, usesRoom) }
+  return { time, gate: createGate(10, { now: () => time.now, date: () => new Date() }, false, false, usesRoom) }
 }
 
 test('load counts by the room, which is half of the slots just after a start', async () => {
--- a/test/node/room-report.test.ts
+++ b/test/node/room-report.test.ts
@@ -37,7 +37,7 @@
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
   const origin = `http://127.0.0.1:${(server.address() as AddressInfo).port}`
   const pool = new Pool(origin)
-  const gate = createGate(8, systemClock, false, usesRoom)
+  const gate = createGate(8, systemClock, false, false, usesRoom)
   const callServer = createCallServer({
     dialect: defaultDialect,
     findKeyFailure: () => undefined,
