Refused callers are asked to return when room is expected

Cause: every refusal asked for 0.5 to 1.5 s by lot. Callers heed a third of the time that they have left, so for a deadline of 1.5 s most of these times were not heeded or used up the deadline, and nothing ordered those who came back.

Change: src/core/returns plans the time from the time left, the usual time of the route, its share and its arrivals: a calendar of 50 ms buckets a route, half of the room for those that return, earlier refusals and higher ranks first. A caller with a place is admitted before new ones. Refusals by chance return within 250 ms, those over a rate as the node's part of the rate allows. Setting plannedReturns, metrics, fields retryAfterMs and returnPlan of the decision lines.

The fixture of test/log/request-log.test.ts has the new field; test/node/raw-path.ts passes the policy that the constructor takes now.

--- a/src/core/admission/fraction.ts
+++ b/src/core/admission/fraction.ts
@@ -73,6 +73,11 @@
 /** Additional factor for expected retries. */
 const expectedRetryFactor = 3
 
+/** Returns the part of the requests of this priority that are admitted when they come for the first time, 0 to 1. */
+export function admittedPart (fraction: number, priority: number): number {
+  return Math.min(1, fraction * (priorityFactors[priority] ?? 1))
+}
+
 /** Returns true when a request of this priority is admitted. `draw` is uniform in [0, 1). */
 export function isAdmitted (fraction: number, priority: number, draw: number, isExpectedRetry = false): boolean {
   return draw < fraction * (priorityFactors[priority] ?? 1) * (isExpectedRetry ? expectedRetryFactor : 1)
--- a/src/core/log/events.ts
+++ b/src/core/log/events.ts
@@ -65,6 +65,8 @@
     limit: { rate: number, burst: number } | null
     /** For a refusal over the rate: leased share of this node, requests left of it, requests that wait, and time since the oldest unanswered report. */
     rateState: { share: number, left: number, waiting: number, unansweredMs: number } | null
+    /** Time after which the caller is asked to return; null for a refusal that does not say so. */
+    retryAfterMs: number | null
     /** Revision of the configuration that decided. */
     revision: number
     elapsedMs: number
@@ -131,6 +133,9 @@
     status: number | null
     depth: number
     extraAttempts: number
+    /** Time after which the caller is asked to return, and how that time was found; null for an end that does not say so. */
+    retryAfterMs: number | null
+    returnPlan: string | null
     callerLeft: boolean
     elapsedMs: number
     timeLeftMs: number
--- a/src/core/node/attempts.ts
+++ b/src/core/node/attempts.ts
@@ -31,6 +31,8 @@
   send: (call: Call, budget: Budget, sink: Sink) => Promise<AttemptOutcome>
   /** Returns the longest time in ms that calls to a service and route have taken lately; undefined when none has ended. */
   longestMs: (callee: Pick<CallContext, 'service' | 'route'>) => number | undefined
+  /** Returns the mean time in ms that calls to a service and route have taken lately; undefined when none was answered. */
+  meanMs: (callee: Pick<CallContext, 'service' | 'route'>) => number | undefined
   /** Takes over changes of the list of members; the time of this call counts as the time at which their stops became known. */
   refreshMembers: () => void
   close: () => void
@@ -135,7 +137,7 @@
     const { service, priority } = call.context
     const key = throttleKey(call)
     const isNewRequest = priority > inProgressPriority && call.context.depth === 0
-    if (isNewRequest && !isAdmitted(reportedFractionOf(reportedFractions, calleeKey(call.context), clock.now()), priority, random.next(), call.isExpectedRetry)) {
+    if (isNewRequest && call.isBookedReturn !== true && !isAdmitted(reportedFractionOf(reportedFractions, calleeKey(call.context), clock.now()), priority, random.next(), call.isExpectedRetry)) {
       metrics.count(`turned_away_total{priority="${priority}"}`)
       return turnAway(call, 'refused before it began, as it leads to services that cannot bear more', 'admission fraction')
     }
@@ -203,6 +205,7 @@
       }
     },
     longestMs: (callee) => durations.longest(calleeKey(callee)),
+    meanMs: (callee) => durations.mean(calleeKey(callee)),
     refreshMembers,
     close: () => clearInterval(timer)
   }
--- a/src/core/node/decisions.ts
+++ b/src/core/node/decisions.ts
@@ -9,6 +9,7 @@
 import type { Arrival } from './filters.ts'
 import { containsKey, headerOf } from './headers.ts'
 import type { Directory } from './identity.ts'
+import type { AskedReturn } from './return-policy.ts'
 import type { Stop } from './stop.ts'
 import type { OwnTarget } from './target.ts'
 import type { AttemptOutcome, Call, CallContext } from './types.ts'
@@ -54,11 +55,13 @@
   outcome: AttemptOutcome
   extraAttempts: number
   startedAt: number
+  /** When the caller is asked to return; missing for an end that does not say so. */
+  askedReturn?: AskedReturn
 }
 
 /** Logs the decisions of a node about requests, with the inputs that led to them. */
 export interface Decisions {
-  refuseArrival: (arrival: Pick<Arrival, 'request' | 'arrivedAt' | 'callerRequest' | 'method' | 'route' | 'identity'>, failure: Failure) => void
+  refuseArrival: (arrival: Pick<Arrival, 'request' | 'arrivedAt' | 'callerRequest' | 'method' | 'route' | 'identity'>, failure: Failure, askedReturn?: AskedReturn) => void
   turnAway: (call: Call, failure: Failure, turnAway: TurnAway) => void
   refuseCall: (call: Call, failure: Failure, elsewhere: boolean) => void
   shed: (call: Call, failure: Failure, shedReason: string, arrivedAt: number) => void
@@ -144,13 +147,15 @@
     const current = stop()
     return current === undefined ? {} : { stoppingMs: round(clock.now() - current.startedAt) }
   }
-  const logEnd = (call: Call, { outcome, extraAttempts, startedAt }: RequestEnd) => requestLog.write('requestEnded', () => ({
+  const logEnd = (call: Call, { outcome, extraAttempts, startedAt, askedReturn }: RequestEnd) => requestLog.write('requestEnded', () => ({
     ...describe(call),
     ...causeOfOutcome(outcome),
     outcome: outcome.type,
     status: statusOf(outcome),
     depth: call.context.depth,
     extraAttempts,
+    retryAfterMs: askedReturn === undefined ? null : round(askedReturn.afterMs),
+    returnPlan: askedReturn?.type ?? null,
     callerLeft: call.cancellation.cancelled,
     ...timesOf(call, startedAt)
   }))
@@ -159,7 +164,7 @@
     requestLog.write('requestAnswered', () => ({ ...describe(call), status: statusOf(outcome), extraAttempts, ...timesOf(call, startedAt) }))
   }
   return {
-    refuseArrival ({ request, arrivedAt, callerRequest, method, route, identity }, failure) {
+    refuseArrival ({ request, arrivedAt, callerRequest, method, route, identity }, failure, askedReturn) {
       const workspace = identity?.workspace ?? null
       requestLog.write('requestRefused', () => ({
         ...idOf(request, null),
@@ -171,6 +176,7 @@
         status: failure.status,
         limit: workspace === null ? null : directory.limitOf(workspace) ?? null,
         rateState: workspace !== null && failure.code === 'overRate' ? rates.state(workspace) : null,
+        retryAfterMs: askedReturn === undefined ? null : round(askedReturn.afterMs),
         revision: revision(),
         elapsedMs: round(clock.now() - arrivedAt),
         ...stopTimes()
--- a/src/core/node/durations.ts
+++ b/src/core/node/durations.ts
@@ -13,6 +13,8 @@
 interface Period {
   number: number
   answered: number
+  /** Sum of the times of the answered calls in ms. */
+  answeredMs: number
   /** Longest time of a call in ms. */
   longestMs: number
 }
@@ -37,10 +39,12 @@
   begin: (route: string) => (end: CallEnd) => void
   /** Returns the longest recent time of a call of this route in ms, those that still run included; undefined when too few were answered lately. */
   longest: (route: string) => number | undefined
+  /** Returns the mean time of the recent calls of this route that were answered well, in ms; undefined when there was none. */
+  mean: (route: string) => number | undefined
 }
 
 function createPeriod (number: number): Period {
-  return { number, answered: 0, longestMs: 0 }
+  return { number, answered: 0, answeredMs: 0, longestMs: 0 }
 }
 
 /** Creates an empty record. */
@@ -71,8 +75,11 @@
         if (end === 'not-run') return
         turnPeriod(durations)
         const { current } = durations
-        current.longestMs = Math.max(current.longestMs, clock.now() - call.startedAt)
-        if (end === 'answered') current.answered++
+        const durationMs = clock.now() - call.startedAt
+        current.longestMs = Math.max(current.longestMs, durationMs)
+        if (end !== 'answered') return
+        current.answered++
+        current.answeredMs += durationMs
       }
     },
     longest (route) {
@@ -84,6 +91,14 @@
       const [oldest] = running
       const runningMs = oldest === undefined ? 0 : clock.now() - oldest.startedAt
       return Math.max(current.longestMs, previous.longestMs, runningMs)
+    },
+    mean (route) {
+      const durations = routes.get(route)
+      if (durations === undefined) return undefined
+      turnPeriod(durations)
+      const { current, previous } = durations
+      const answered = current.answered + previous.answered
+      return answered === 0 ? undefined : (current.answeredMs + previous.answeredMs) / answered
     }
   }
 }
--- a/src/core/node/entry.ts
+++ b/src/core/node/entry.ts
@@ -103,13 +103,16 @@
     const checked = pending instanceof Promise ? await pending : pending
     if (checked.ok) continue
     metrics.count(`refused_total{code="${checked.name}"}`)
-    decisions.refuseArrival(arrival, checked)
-    return context.refusals.refuseArrival(response, checked, arrival)
+    const asked = context.refusals.askArrival(arrival, checked)
+    decisions.refuseArrival(arrival, checked, asked)
+    return context.refusals.refuseArrival(response, checked, arrival, asked)
   }
   invariant(arrival.route !== undefined && arrival.body !== undefined, 'the filters passed a request without a route or a body')
   const inProgress = isCallInProgress(arrival, context)
   const call = createCall(arrival, arrival.body, arrival.route, inProgress, dialect)
-  call.isExpectedRetry = !inProgress && context.refusals.matchExpectedRetry(call.context.fingerprint)
+  const expectedReturn = inProgress ? undefined : context.refusals.recordArrival(call.context)
+  call.isExpectedRetry = expectedReturn !== undefined
+  call.isBookedReturn = expectedReturn === 'booked'
   if (inProgress) context.dependencies.recordCall(calleeKey(call.context))
   if (response.destroyed) call.cancellation.cancel()
   const ended: { end?: RequestEnd } = {}
@@ -126,7 +129,8 @@
   metrics.time('call', clock.now() - arrivedAt)
   metrics.count(`calls_total{outcome="${outcome.type}"}`)
   metrics.count('extra_attempts_total', budget.used)
-  ended.end = { outcome, extraAttempts: budget.used, startedAt: arrivedAt }
+  const askedReturn = context.refusals.askCaller(call, outcome)
+  ended.end = { outcome, extraAttempts: budget.used, startedAt: arrivedAt, askedReturn }
   decisions.endRequest(call, ended.end)
-  await context.refusals.refuseUnlessAnswered(response, call, outcome)
+  await context.refusals.refuseUnlessAnswered(response, call, outcome, askedReturn)
 }
--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, Server, ServerOptions, ServerResponse } from 'node:http'
 import { randomId } from '../auth/index.ts'
 import { createClaimClient } from '../claims/client.ts'
-import { createReportedFractions } from '../admission/index.ts'
+import { admittedPart, createReportedFractions, reportedFractionOf } from '../admission/index.ts'
 import type { Hash } from '../claims/index.ts'
 import { serveClaims } from '../claims/service.ts'
 import { closeServer, listen } from '../http/index.ts'
@@ -34,6 +34,7 @@
 import { createPipeline } from './pipeline.ts'
 import type { PipelineOptions } from './pipeline.ts'
 import { createRefusals } from './refusals.ts'
+import { createPlannedPolicy, createRandomPolicy } from './return-policy.ts'
 import { createRunningRequests, giveUpRunning } from './running.ts'
 import { createKeyCheck } from './key-check.ts'
 import { createCallServer } from './serve.ts'
@@ -47,6 +48,9 @@
 const handoverTimeoutMs = 5000
 const reportIntervalMs = 2000
 
+/** Time for which the share of a workspace holds where its rate is a token bucket, in milliseconds. */
+const bucketRateMs = 1000
+
 /** Settings of a node. */
 export interface NodeOptions {
   id: string
@@ -133,7 +137,10 @@
   peers.onMemberChange((member) => {
     if (member.leaving === true || member.target?.state === 'leaving') callSender.refreshMembers()
   })
-  const refusals = createRefusals(claims, dialect, random, clock)
+  const shareOf = (callee: string, rank: number, now: number) => admittedPart(reportedFractionOf(reportedFractions, callee, now), rank)
+  const admissibleRate = (workspace: string) => rates.state(workspace).share / (options.rateWindowMs || bucketRateMs)
+  const policy = options.plannedReturns === false ? createRandomPolicy(random) : createPlannedPolicy({ shareOf, usualMs: callSender.meanMs, admissibleRate, random })
+  const refusals = createRefusals({ claims, dialect, policy, environment })
   const bodyBudget = createBodyBudget(maxPeerBodyBytes)
   const begunResponses = new WeakSet<ServerResponse>()
   const recordBegun = (response: ServerResponse): boolean => {
--- a/src/core/node/outgoing.ts
+++ b/src/core/node/outgoing.ts
@@ -124,7 +124,8 @@
   recordOutgoingEnd(span, clock.now())
   stopListening()
   if (outcome.report.shed) span.shed = true
-  context.decisions.endRequest(outgoingCall, { outcome, extraAttempts: 0, startedAt })
+  const askedReturn = context.refusals.askCaller(outgoingCall, outcome)
+  context.decisions.endRequest(outgoingCall, { outcome, extraAttempts: 0, startedAt, askedReturn })
   metrics.count(`outgoing_total{outcome="${outcome.type}"}`)
-  await context.refusals.refuseUnlessAnswered(response, outgoingCall, outcome)
+  await context.refusals.refuseUnlessAnswered(response, outgoingCall, outcome, askedReturn)
 }
--- a/src/core/node/refusals.ts
+++ b/src/core/node/refusals.ts
@@ -1,83 +1,141 @@
 import type { ServerResponse } from 'node:http'
 import { createExpectedRetries, expectRetry, pruneExpectedRetries, takeExpectedRetry } from '../admission/index.ts'
+import type { ExpectedRetries } from '../admission/index.ts'
 import type { ClaimClient } from '../claims/client.ts'
-import type { Clock } from '../clock/index.ts'
 import { fail } from '../errors/index.ts'
 import type { Failure } from '../errors/index.ts'
-import type { Random } from '../random/index.ts'
+import type { Environment } from '../peers/index.ts'
 import type { Dialect } from './dialect.ts'
+import { requestTimeoutMs } from './filters.ts'
 import type { Arrival } from './filters.ts'
+import type { AskedReturn, ReturnPolicy } from './return-policy.ts'
 import { abortResponse } from './sinks.ts'
-import type { AttemptOutcome, Call } from './types.ts'
-
-/** Shortest and longest time after which a refused caller is asked to retry, in milliseconds. */
-const minRetryMs = 500
-const maxRetryMs = 1500
+import type { AttemptOutcome, Call, CallContext } from './types.ts'
 
 /** Time between removals of expected retries that did not arrive, in milliseconds. */
 const pruneEveryMs = 1000
 
-/** Returns a random retry time, which keeps refused callers from retrying simultaneously. */
-function randomRetryMs (random: Random): number {
-  return minRetryMs + random.next() * (maxRetryMs - minRetryMs)
-}
+/** Statuses of failures whose answer can say when to return. A request that ran out of time before it ran may be reported as unavailable. */
+const returnStatuses = new Set([429, 503, 504])
+
+/** A caller that returns as it was asked to: one for which room was set aside, or another. */
+export type ExpectedReturn = 'booked' | 'expected'
 
 /** Answers callers whose requests ended without an answer from a target. */
 export interface Refusals {
-  /** Returns true when the request is an expected retry. Each expected retry is matched once. */
-  matchExpectedRetry: (fingerprint: string) => boolean
-  refuseArrival: (response: ServerResponse, failure: Failure, arrival: Arrival) => Promise<void>
+  /** Counts a caller's request. Tells whether it returns as it was asked to; each expected return is matched once. */
+  recordArrival: (context: Pick<CallContext, 'service' | 'route' | 'rank' | 'fingerprint'>) => ExpectedReturn | undefined
+  /** Decides when the caller of a request that a filter refused is asked to return; undefined for a refusal that does not say so. */
+  askArrival: (arrival: Arrival, failure: Failure) => AskedReturn | undefined
+  /** Decides when the caller of a call without an answer is asked to return, and expects it then; undefined for an end that does not say so. */
+  askCaller: (call: Call, outcome: AttemptOutcome) => AskedReturn | undefined
+  refuseArrival: (response: ServerResponse, failure: Failure, arrival: Arrival, asked: AskedReturn | undefined) => Promise<void>
   /** Refuses a request whose response has not begun when the node that received it stops. `begun` is false for one that no target can have received. */
   refuseGivenUp: (response: ServerResponse, begun: boolean) => void
-  refuseUnlessAnswered: (response: ServerResponse, call: Call, outcome: AttemptOutcome) => Promise<void>
+  refuseUnlessAnswered: (response: ServerResponse, call: Call, outcome: AttemptOutcome, asked?: AskedReturn) => Promise<void>
+}
+
+/** Services that the refusals of a node use. */
+export interface RefusalContext {
+  claims: ClaimClient
+  dialect: Dialect
+  policy: ReturnPolicy
+  environment: Pick<Environment, 'clock' | 'metrics'>
+}
+
+/** Returns the failure with which a call ends that can say when to return. */
+function refusalOf (outcome: AttemptOutcome): Failure | undefined {
+  if (outcome.type !== 'refused' && outcome.type !== 'failed') return undefined
+  const mayState = outcome.type === 'refused' || outcome.failure.status !== 504
+  return mayState && returnStatuses.has(outcome.failure.status) ? outcome.failure : undefined
 }
 
 /**
  * Creates the refusals of one node. A request that may have been sent before under the same
  * Idempotency-Key is reported as "not run" only when a majority of the holders have no claim for it.
  */
-export function createRefusals (claims: ClaimClient, dialect: Dialect, random: Random, clock: Clock): Refusals {
-  const expectedRetries = createExpectedRetries()
+export function createRefusals ({ claims, dialect, policy, environment: { clock, metrics } }: RefusalContext): Refusals {
+  const expected: Record<ExpectedReturn, ExpectedRetries> = { booked: createExpectedRetries(), expected: createExpectedRetries() }
+  /** Returns that were asked for and have neither come nor been missed. */
+  let outstanding = 0
   let pruneAt = 0
   const runStateOf = async (workspace: string | null, lineage: string): Promise<string> => {
     return await claims.isUnclaimed(`${workspace ?? ''}\n${lineage}`) ? 'not-run' : 'unknown'
   }
-  const writeRefusal = (response: ServerResponse, failure: Failure, run: string, retryAfterMs = randomRetryMs(random)) => {
-    if (!response.headersSent && !response.destroyed) dialect.writeRefusal(response, { failure, run, retryAfterMs })
+  const writeRefusal = (response: ServerResponse, failure: Failure, run: string, asked: AskedReturn | undefined) => {
+    if (!response.headersSent && !response.destroyed) dialect.writeRefusal(response, { failure, run, retryAfterMs: asked?.afterMs ?? 0 })
   }
-  /** Refuses a request and records the expected retry. */
-  const writeAndExpectRetry = (response: ServerResponse, failure: Failure, run: string, fingerprint: string) => {
-    const retryAfterMs = randomRetryMs(random)
-    expectRetry(expectedRetries, fingerprint, clock.now() + retryAfterMs)
-    writeRefusal(response, failure, run, retryAfterMs)
+  const expectReturn = (type: ExpectedReturn, fingerprint: string, dueAt: number) => {
+    expectRetry(expected[type], fingerprint, dueAt)
+    outstanding++
+    metrics.count(`returns_expected_total{type="${type}"}`)
+  }
+  /** Drops the returns that did not come. */
+  const prune = (now: number) => {
+    if (now < pruneAt) return
+    pruneAt = now + pruneEveryMs
+    let kept = 0
+    for (const retries of [expected.booked, expected.expected]) {
+      pruneExpectedRetries(retries, now)
+      for (const times of retries.values()) kept += times.length
+    }
+    metrics.count('returns_missed_total', outstanding - kept)
+    outstanding = kept
+  }
+  const takeReturn = (fingerprint: string, now: number): ExpectedReturn | undefined => {
+    if (takeExpectedRetry(expected.booked, fingerprint, now)) return 'booked'
+    return takeExpectedRetry(expected.expected, fingerprint, now) ? 'expected' : undefined
+  }
+  const recordAsked = (asked: AskedReturn): AskedReturn => {
+    metrics.time('retry_after', asked.afterMs)
+    metrics.count(`returns_asked_total{type="${asked.type}"}`)
+    return asked
   }
   return {
-    matchExpectedRetry (fingerprint) {
+    recordArrival (context) {
+      const now = clock.now()
+      policy.recordArrival(context, now)
+      prune(now)
+      const taken = takeReturn(context.fingerprint, now)
+      if (taken === undefined) return undefined
+      outstanding--
+      metrics.count(`returns_come_total{type="${taken}"}`)
+      return taken
+    },
+    askArrival ({ route, identity, arrivedAt, callerRequest }, failure) {
+      if (!returnStatuses.has(failure.status)) return undefined
+      const timeoutMs = route === undefined ? callerRequest.timeLeftMs ?? Infinity : requestTimeoutMs(route, callerRequest)
+      const callee = route && { service: route.service, route: route.name }
+      return recordAsked(policy.forArrival({ workspace: identity?.workspace, deadlineAt: arrivedAt + timeoutMs, callee }, failure, clock.now()))
+    },
+    askCaller (call, outcome) {
+      const failure = refusalOf(outcome)
+      if (failure === undefined || call.cancellation.cancelled) return undefined
       const now = clock.now()
-      if (now >= pruneAt) {
-        pruneExpectedRetries(expectedRetries, now)
-        pruneAt = now + pruneEveryMs
-      }
-      return takeExpectedRetry(expectedRetries, fingerprint, now)
+      const asked = recordAsked(policy.forCall(call, failure, now))
+      const isExpected = outcome.type === 'refused' && asked.type !== 'late'
+      if (isExpected) expectReturn(asked.type === 'booked' ? 'booked' : 'expected', call.context.fingerprint, now + asked.afterMs)
+      return asked
     },
-    async refuseArrival (response, failure, { route, identity, idempotencyKey }) {
+    async refuseArrival (response, failure, { route, identity, idempotencyKey }, asked) {
       const isResendable = idempotencyKey !== undefined && route !== undefined && !route.idempotent
       const workspace = route?.open === true ? null : identity?.workspace ?? null
-      writeRefusal(response, failure, isResendable ? await runStateOf(workspace, `key:${idempotencyKey}`) : 'not-run')
+      writeRefusal(response, failure, isResendable ? await runStateOf(workspace, `key:${idempotencyKey}`) : 'not-run', asked)
     },
     refuseGivenUp (response, begun) {
       // Under an idempotency key an earlier attempt may have run.
       const mayHaveRun = begun || response.req.headers['idempotency-key'] !== undefined
-      if (mayHaveRun) writeRefusal(response, fail('unknownOutcome', { reason: 'the node that received it stops' }), 'unknown')
-      else writeRefusal(response, fail('leaving'), 'not-run')
+      const asked = recordAsked(policy.forStop(clock.now()))
+      if (mayHaveRun) writeRefusal(response, fail('unknownOutcome', { reason: 'the node that received it stops' }), 'unknown', asked)
+      else writeRefusal(response, fail('leaving'), 'not-run', asked)
     },
-    async refuseUnlessAnswered (response, { context }, outcome) {
+    async refuseUnlessAnswered (response, { context }, outcome, asked) {
       if (outcome.type === 'answered') return
       if (outcome.type === 'broken') return abortResponse(response)
-      const { workspace, lineage, idempotent, resendable, fingerprint } = context
-      if (outcome.type === 'failed') return writeRefusal(response, outcome.failure, 'unknown')
+      const { workspace, lineage, idempotent, resendable } = context
+      if (outcome.type === 'failed') return writeRefusal(response, outcome.failure, 'unknown', asked)
       const run = !idempotent && resendable ? await runStateOf(workspace, lineage) : 'not-run'
-      writeAndExpectRetry(response, outcome.failure, run, fingerprint)
+      writeRefusal(response, outcome.failure, run, asked)
     }
   }
 }
--- a/src/core/node/types.ts
+++ b/src/core/node/types.ts
@@ -64,6 +64,8 @@
   source?: RequestSource
   /** True for an expected retry: its caller was told in Retry-After to retry now. */
   isExpectedRetry?: boolean
+  /** True for an expected retry for which room was set aside when its caller was refused. */
+  isBookedReturn?: boolean
 }
 
 /** Signals to the parts of a call that its caller has disconnected. */
--- /dev/null
+++ b/src/core/returns/returns.ts
@@ -0,0 +1,130 @@
+import { book, createCalendar } from './calendar.ts'
+import type { Calendar } from './calendar.ts'
+import { heededFraction, maxCalendars, maxReturnMs, maxSoonMs, maxSpreadMs, minReturnMs, promisedFraction } from './constants.ts'
+import { countArrival, createDemand, ratesOf } from './demand.ts'
+import type { Demand } from './demand.ts'
+
+/** What an entry node knows of one route. */
+interface RouteReturns {
+  demand: Demand
+  calendar: Calendar
+}
+
+/** What one entry node has asked its refused callers to do. It is lost with the node; its callers then count as new. */
+export interface Returns {
+  /** By the key of the route. */
+  routes: Map<string, RouteReturns>
+  /** Calendars of the callers that were refused over the rate of their workspace. */
+  workspaces: Map<string, Calendar>
+}
+
+/** Returns the part of the requests of a route and rank that may begin, 0 to 1. */
+export type ShareOf = (route: string, rank: number, now: number) => number
+
+/** Time of a refused caller. */
+export interface TimeLeft {
+  /** Monotonic time until which the caller waits, in ms. */
+  deadlineAt: number
+  /** Time that its request usually takes, in ms. */
+  usualMs: number
+}
+
+/** A request that was refused for lack of room. */
+export interface RefusedRequest extends TimeLeft {
+  /** Key of the route. */
+  route: string
+  /** Priority, from 0. */
+  rank: number
+  /** True when a queue or a target had no room for the request. */
+  isOverload: boolean
+}
+
+/**
+ * When a caller is to return. `booked`: room is set aside for it then. `spread`: within the time that it can use, as no room could be set aside.
+ * `soon`: nothing but chance, a lost target or a stop kept it out. `late`: it has no time left in which its request could end.
+ */
+export interface PlannedReturn {
+  type: 'booked' | 'spread' | 'soon' | 'late'
+  afterMs: number
+}
+
+/** Creates the state of a node that has refused nobody. */
+export function createReturns (): Returns {
+  return { routes: new Map(), workspaces: new Map() }
+}
+
+/** Returns the entry of a key, which becomes the most recently used one. */
+function entryOf<Entry> (entries: Map<string, Entry>, key: string, create: () => Entry): Entry {
+  const entry = entries.get(key) ?? create()
+  entries.delete(key)
+  entries.set(key, entry)
+  const [oldest] = entries.keys()
+  if (entries.size > maxCalendars) entries.delete(oldest)
+  return entry
+}
+
+function routeOf (returns: Returns, route: string, now: number): RouteReturns {
+  return entryOf(returns.routes, route, () => ({ demand: createDemand(now), calendar: createCalendar(now) }))
+}
+
+/** Counts a request that arrived, whether it begins or not. */
+export function recordArrival (returns: Returns, route: string, rank: number, now: number): void {
+  countArrival(routeOf(returns, route, now).demand, rank, now)
+}
+
+/** Returns the longest time after which a caller heeds the request to return and its request can still end, in ms; at most 0 when there is none. */
+function latestMsOf ({ deadlineAt, usualMs }: TimeLeft, now: number): number {
+  const leftMs = deadlineAt - now
+  return Math.min(maxReturnMs, leftMs * heededFraction, leftMs - usualMs)
+}
+
+/** Returns a time between two others. `draw` is uniform in [0, 1). */
+function between (fromMs: number, toMs: number, draw: number): number {
+  return fromMs + draw * Math.max(0, toMs - fromMs)
+}
+
+function planLate ({ deadlineAt }: TimeLeft, now: number): PlannedReturn {
+  return { type: 'late', afterMs: Math.min(maxReturnMs, Math.max(0, (deadlineAt - now) * heededFraction)) }
+}
+
+/** Plans the return of a caller that was refused for another reason than lack of room. `draw` is uniform in [0, 1). */
+export function planSoon (time: TimeLeft, draw: number, now: number): PlannedReturn {
+  const latestMs = latestMsOf(time, now)
+  if (latestMs < minReturnMs) return planLate(time, now)
+  return { type: 'soon', afterMs: between(minReturnMs, Math.min(latestMs, maxSoonMs), draw) }
+}
+
+/** Books a return, or spreads it over the later half of the time in which the caller can return: the lack of room may be over by then. */
+function bookOrSpread (calendar: Calendar, booking: { rank: number, rate: number, higherRate: number }, latestMs: number, draw: number, now: number): PlannedReturn {
+  const returnAt = book(calendar, { ...booking, earliestAt: now + minReturnMs, latestAt: now + latestMs }, now)
+  if (returnAt !== undefined) return { type: 'booked', afterMs: returnAt - now }
+  return { type: 'spread', afterMs: between(Math.max(minReturnMs, latestMs / 2), latestMs, draw) }
+}
+
+/** Plans the return of a caller that was refused for lack of room. `draw` is uniform in [0, 1). */
+export function planReturn (returns: Returns, request: RefusedRequest, shareOf: ShareOf, draw: number, now: number): PlannedReturn {
+  const { route, rank, isOverload } = request
+  const latestMs = latestMsOf(request, now)
+  if (latestMs < minReturnMs) return planLate(request, now)
+  if (shareOf(route, rank, now) >= 1) {
+    if (!isOverload) return planSoon(request, draw, now)
+    return { type: 'spread', afterMs: between(minReturnMs, Math.min(latestMs, maxSpreadMs), draw) }
+  }
+  const { demand, calendar } = routeOf(returns, route, now)
+  let rate = 0
+  let higherRate = 0
+  for (const [arrivalRank, arrivals] of ratesOf(demand, now).entries()) {
+    const share = Math.min(1, shareOf(route, arrivalRank, now))
+    rate += promisedFraction * arrivals * share
+    if (arrivalRank < rank) higherRate += arrivals * (1 - share)
+  }
+  return bookOrSpread(calendar, { rank, rate, higherRate }, latestMs, draw, now)
+}
+
+/** Plans the return of a caller over the rate of its workspace, of which this node may admit `rate` requests per ms. `draw` is uniform in [0, 1). */
+export function planRateReturn (returns: Returns, request: TimeLeft & { workspace: string, rate: number }, draw: number, now: number): PlannedReturn {
+  const latestMs = latestMsOf(request, now)
+  if (latestMs < minReturnMs) return planLate(request, now)
+  const calendar = entryOf(returns.workspaces, request.workspace, () => createCalendar(now))
+  return bookOrSpread(calendar, { rank: 0, rate: promisedFraction * request.rate, higherRate: 0 }, latestMs, draw, now)
+}
--- a/test/log/request-log.test.ts
+++ b/test/log/request-log.test.ts
@@ -6,7 +6,7 @@
 import { createMetrics } from '../../src/core/metrics/index.ts'
 
 const refusal: EventFields<'requestRefused'> = {
-  code: 'over_rate', reason: 'workspace w is over its rate', method: 'GET', host: 'h', route: 'r', workspace: 'w', status: 429, limit: { rate: 1, burst: 1 }, rateState: null, revision: 7, elapsedMs: 0
+  code: 'over_rate', reason: 'workspace w is over its rate', method: 'GET', host: 'h', route: 'r', workspace: 'w', status: 429, limit: { rate: 1, burst: 1 }, rateState: null, retryAfterMs: null, revision: 7, elapsedMs: 0
 }
 
 interface Line {
--- a/test/node/attempts.test.ts
+++ b/test/node/attempts.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { createReportedFractions } from '../../src/core/admission/index.ts'
+import { createReportedFractions, recordReportedFraction } from '../../src/core/admission/index.ts'
 import { systemClock } from '../../src/core/clock/index.ts'
 import { fail } from '../../src/core/errors/index.ts'
 import { silentLog } from '../../src/core/log/index.ts'
@@ -26,7 +26,7 @@
 }
 
 /** Sends one call with five extra attempts; `outcomesOf` gives the outcomes of each node's attempts in order. Returns the outcome, the nodes tried and the budget left. */
-async function send (outcomesOf: Record<string, AttemptOutcome[]>, idempotent: boolean, waitMs?: number, mayBegin = () => true) {
+async function send (outcomesOf: Record<string, AttemptOutcome[]>, idempotent: boolean, waitMs?: number, mayBegin = () => true, { fraction, isBookedReturn = false }: { fraction?: number, isBookedReturn?: boolean } = {}) {
   const nodes: string[] = []
   const waits: Array<number | undefined> = []
   const forward = async (node: string, { context }: Call) => {
@@ -37,19 +37,21 @@
   const members = Object.keys(outcomesOf).map(member)
   const peers = { self: () => member('entry'), members: () => members, reportUnreachable () {} } as unknown as Peers
   const environment = { clock: systemClock, random: createRandom(1), log: silentLog, metrics: createMetrics() }
+  const reportedFractions = createReportedFractions()
+  if (fraction !== undefined) recordReportedFraction(reportedFractions, 's/r', 'a', fraction, systemClock.now())
   const sender = createCallSender({
     peers,
     server: {} as CallServer,
     forwarder: { forward } as unknown as Forwarder,
     fleetRetries: Infinity,
-    reportedFractions: createReportedFractions(),
+    reportedFractions,
     mayBegin,
     drainMs: Infinity,
     decisions: createSilentDecisions(),
     environment
   })
   const context = { service: 's', route: 'r', template: 't', workspace: null, priority: 2, depth: 0, idempotent, suspect: false, waitMs }
-  const call = { context, deadlineAt: systemClock.now() + 1000, cancellation: createCancellation() } as unknown as Call
+  const call = { isBookedReturn, context, deadlineAt: systemClock.now() + 1000, cancellation: createCancellation() } as unknown as Call
   const budget = createBudget(5)
   const outcome = await sender.send(call, budget, {} as Sink)
   sender.close()
@@ -87,3 +89,10 @@
   const failedOnce = await send({ a: [failed], b: [failed] }, true, undefined, () => false)
   assert.deepEqual([failedOnce.outcome, failedOnce.nodes.length], [failed, 1])
 })
+
+test('a caller for whom room was set aside is admitted before those who come for the first time', async () => {
+  const first = await send({ a: [] }, true, undefined, undefined, { fraction: 0 })
+  assert.deepEqual([first.outcome.type, first.nodes], ['refused', []])
+  const returning = await send({ a: [] }, true, undefined, undefined, { fraction: 0, isBookedReturn: true })
+  assert.deepEqual([returning.outcome, returning.nodes], [answered, ['a']])
+})
--- a/test/node/decisions.test.ts
+++ b/test/node/decisions.test.ts
@@ -145,6 +145,16 @@
   ])
 })
 
+test('lines of refusals say when their callers are asked to return', () => {
+  const { decisions, lines } = createLogged()
+  const outcome: AttemptOutcome = { type: 'refused', failure: fail('overloaded', { service: 's', reason: 'short' }), elsewhere: true, arrived: false, report: emptyReport }
+  decisions.endRequest(createCall(), { ...end, outcome, askedReturn: { type: 'booked', afterMs: 312.6 } })
+  decisions.refuseArrival({ ...arrival, request: requestWith({}) }, fail('overRate', { workspace: 'w' }), { type: 'spread', afterMs: 200 })
+  decisions.refuseArrival({ ...arrival, request: requestWith({}) }, fail('badRequest', { reason: 'no' }))
+  assert.deepEqual(lines.map(({ retryAfterMs }) => retryAfterMs), [313, 200, null])
+  assert.equal(lines[0].returnPlan, 'booked')
+})
+
 test('lines of a stopping node say how late they are, and what it knows of the stop of the other node', () => {
   const now = systemClock.now()
   const { decisions, lines } = createLogged({ startedAt: now - 1500, servesUntil: now + 1100, endsAt: now + 4000 })
--- a/test/node/durations.test.ts
+++ b/test/node/durations.test.ts
@@ -58,3 +58,15 @@
   assert.equal(durations.longest('r-0'), undefined)
   assert.ok((durations.longest('r-1499') ?? 0) >= 1)
 })
+
+test('the mean counts calls that were answered well in the last periods', () => {
+  const { clock, durations, take } = createAt(0)
+  assert.equal(durations.mean('r'), undefined)
+  take('r', 100)
+  take('r', 300)
+  take('r', 5000, 'failed')
+  take('r', 1, 'not-run')
+  assert.equal(durations.mean('r'), 200)
+  clock.time += 40_000
+  assert.equal(durations.mean('r'), undefined)
+})
--- a/test/node/raw-path.ts
+++ b/test/node/raw-path.ts
@@ -22,6 +22,7 @@
 import { servePeerCalls } from '../../src/core/node/peer-calls.ts'
 import { createPipeline } from '../../src/core/node/pipeline.ts'
 import { createRefusals } from '../../src/core/node/refusals.ts'
+import { createRandomPolicy } from '../../src/core/node/return-policy.ts'
 import { createCallServer } from '../../src/core/node/serve.ts'
 import { createResponseSink } from '../../src/core/node/sinks.ts'
 import { createSpans } from '../../src/core/node/spans.ts'
@@ -136,7 +137,7 @@
   const sessions = servePeerCalls(peers, server, () => {}, createBodyBudget(1024 * 1024), environment)
   const peerAddress = `127.0.0.1:${await listenAnywhere(peerServer)}`
   const forwarder = createForwarder(peers, environment)
-  const refusals = createRefusals({} as unknown as ClaimClient, dialect, createRandom(1), clock)
+  const refusals = createRefusals({ claims: {} as unknown as ClaimClient, dialect, policy: createRandomPolicy(createRandom(1)), environment })
   let nextId = 1000
   const createCall = (request: IncomingMessage, body: Buffer): Call => {
     const id = `r${nextId++}`
