Command that says where a request would go, without sending it

Cause: no command told an operator where a request would go now and why, or what would refuse it.

Change: a node answers POST /.dogwoodspring/where at its local listener with route, rank, rate state, share, targets with the part of such requests that each would get and a reason in one line, and what would refuse it; for templates and deployments. The key travels in a header and is neither logged nor part of the answer. The choice is drawn from a source of its own over copies of the statistics; rates have a state that is read without being created. The command prints a table or JSON. The targets come from one function (node/inspection.ts), which takes stated room and working times once routing knows them.

test/node/odd-announcements.test.ts passes the parameter that the local handler has now.

--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -12,6 +12,7 @@
 import { QuarantineListCommand, QuarantineReleaseCommand } from './quarantine/index.ts'
 import { StatusCommand } from './status/index.ts'
 import { TemplateGetCommand, TemplateListCommand, TemplateSetCommand } from './template/index.ts'
+import { WhereCommand } from './where/index.ts'
 import { WorkspaceGetCommand, WorkspaceListCommand, WorkspaceSetCommand } from './workspace/index.ts'
 
 /** All commands of the program. */
@@ -23,6 +24,6 @@
   OperatorGiveCommand, OperatorWithdrawCommand, OperatorListCommand,
   QuarantineListCommand, QuarantineReleaseCommand,
   MemberAddCommand, MemberRemoveCommand, MemberListCommand,
-  StatusCommand, AuditCommand, AuditVerifyCommand, ExplainCommand, ConfigCheckCommand, BenchCommand,
+  StatusCommand, AuditCommand, AuditVerifyCommand, ExplainCommand, WhereCommand, ConfigCheckCommand, BenchCommand,
   Builtins.HelpCommand, Builtins.VersionCommand
 ]
--- a/src/core/errors/catalogue.ts
+++ b/src/core/errors/catalogue.ts
@@ -110,6 +110,13 @@
     message: () => 'this node has not received a configuration yet',
     hint: 'Send again in a moment; if it lasts, see whether the control group has a leader.'
   }),
+  nodeUnreachable: defineEntry<{ address: string, reason: string }>({
+    name: 'node_unreachable',
+    title: 'Node unreachable',
+    status: 504,
+    message: ({ address, reason }) => `no answer from the node at ${address}: ${reason}`,
+    hint: 'Give the address that the node prints as "local" at its start, from a machine that reaches it.'
+  }),
   notExecuted: defineEntry<{ status: number }>({
     name: 'not_executed',
     title: 'Not executed',
--- a/src/core/node/attempts.ts
+++ b/src/core/node/attempts.ts
@@ -9,6 +9,7 @@
 import { createRetryTokens, depositRetryToken, releaseBudget, reserveBudget, mayRetry, divideFleetRetries, consumeAttempt, takeRetryToken } from '../retries/index.ts'
 import type { Budget } from '../retries/index.ts'
 import { chooseTarget, createKnownStops, createTargetStats, recordAnswer, recordFailure, statsOf } from '../routing/index.ts'
+import type { ServiceView } from '../where/index.ts'
 import { inProgressPriority } from './constants.ts'
 import type { Decisions, TurnAway } from './decisions.ts'
 import { createDurations } from './durations.ts'
@@ -16,6 +17,7 @@
 import { countEndpoints, endpointsByService, nextEndpoints } from './endpoints.ts'
 import type { Endpoint, ServiceEndpoints } from './endpoints.ts'
 import type { Forwarder } from './forward.ts'
+import { inspectTargets } from './inspection.ts'
 import type { CallServer } from './serve.ts'
 import type { StoppingRequest } from './stop.ts'
 import { calleeKey, callEndOf, emptyReport } from './types.ts'
@@ -26,6 +28,9 @@
 
 const pruneEveryMs = 5000
 
+/** Properties of a request by which the throttle tells requests apart. */
+type ThrottledRequest = Pick<CallContext, 'template' | 'route' | 'service' | 'workspace' | 'priority'>
+
 /** Sends calls to targets, with retries where they are allowed. */
 export interface CallSender {
   send: (call: Call, budget: Budget, sink: Sink) => Promise<AttemptOutcome>
@@ -33,6 +38,8 @@
   longestMs: (callee: Pick<CallContext, 'service' | 'route'>) => number | undefined
   /** Returns the mean time in ms that calls to a service and route have taken lately; undefined when none was answered. */
   meanMs: (callee: Pick<CallContext, 'service' | 'route'>) => number | undefined
+  /** Shows what decides where a request with this deadline would go, and changes nothing. */
+  inspect: (request: ThrottledRequest, deadlineAt: number) => Pick<ServiceView, 'targets' | 'ownDomain' | 'choose' | 'passFraction'>
   /** Takes over changes of the list of members; the time of this call counts as the time at which their stops became known. */
   refreshMembers: () => void
   close: () => void
@@ -131,11 +138,11 @@
     decisions.turnAway(call, failure, { rule, fraction: reportedFractionOf(reportedFractions, calleeKey(call.context), clock.now()) })
     return createRefusal(failure, true)
   }
-  const throttleKey = ({ context }: Call) => `${context.template}/${context.route}/${context.workspace ?? ''}/${context.priority}`
+  const throttleKey = ({ template, route, workspace, priority }: ThrottledRequest) => `${template}/${route}/${workspace ?? ''}/${priority}`
 
   const sendUnrecorded = async (call: Call, budget: Budget, sink: Sink): Promise<AttemptOutcome> => {
     const { service, priority } = call.context
-    const key = throttleKey(call)
+    const key = throttleKey(call.context)
     const isNewRequest = priority > inProgressPriority && call.context.depth === 0
     if (isNewRequest && call.isBookedReturn !== true && !isAdmitted(reportedFractionOf(reportedFractions, calleeKey(call.context), clock.now()), priority, random.next(), call.isExpectedRetry)) {
       metrics.count(`turned_away_total{priority="${priority}"}`)
@@ -206,6 +213,12 @@
     },
     longestMs: (callee) => durations.longest(calleeKey(callee)),
     meanMs: (callee) => durations.mean(calleeKey(callee)),
+    inspect (request, deadlineAt) {
+      const members = peers.members()
+      const known = members === indexedMembers ? endpoints : endpointsByService(members, stops)
+      const view = { endpoints: known.get(request.service), statsByNode, ownDomain: peers.self().domain, deadlineAt }
+      return { ...inspectTargets(view, clock.now()), passFraction: throttle.get(throttleKey(request))?.passFraction ?? 1 }
+    },
     refreshMembers,
     close: () => clearInterval(timer)
   }
--- /dev/null
+++ b/src/core/node/inspection.ts
@@ -0,0 +1,43 @@
+import { chooseTarget } from '../routing/index.ts'
+import type { Candidate, TargetStats, TargetStatsMap } from '../routing/index.ts'
+import type { KnownTarget, TargetView } from '../where/index.ts'
+import { nextEndpoints } from './endpoints.ts'
+import type { Endpoint, ServiceEndpoints } from './endpoints.ts'
+
+/** What the sending side knows of the targets of a service. */
+export interface SendingView {
+  endpoints: ServiceEndpoints | undefined
+  statsByNode: TargetStatsMap
+  ownDomain: string
+  /** Deadline of the request that is explained, monotonic, in ms. */
+  deadlineAt: number
+}
+
+/** Returns what is known of a target, without creating statistics for it. */
+function describeTarget ({ node, domain, slots }: Endpoint, state: KnownTarget['state'], usable: ReadonlySet<string>, stats: TargetStats | undefined, now: number): KnownTarget {
+  const isKnown = stats !== undefined && stats.loadAt > 0
+  return {
+    node,
+    domain,
+    state,
+    isUsable: usable.has(node),
+    slots,
+    inFlight: stats?.inFlight ?? 0,
+    ...(isKnown ? { load: stats.load, loadAgeMs: now - stats.loadAt, latencyMs: stats.latencyMs } : {}),
+    ejectedForMs: Math.max(0, (stats?.ejectedUntil ?? now) - now)
+  }
+}
+
+/** Shows the targets of a service as the sending side sees them, and changes nothing. */
+export function inspectTargets ({ endpoints, statsByNode, ownDomain, deadlineAt }: SendingView, now: number): TargetView {
+  const candidates: readonly Candidate[] = nextEndpoints(endpoints, { tried: new Set(), refusedBy: new Set(), deadlineAt })
+  const usable = new Set(candidates.map(({ node }) => node))
+  const describe = (state: KnownTarget['state']) => (endpoint: Endpoint) => describeTarget(endpoint, state, usable, statsByNode.get(endpoint.node), now)
+  // A choice adds empty statistics of targets that are not known yet.
+  const copy = new Map(statsByNode)
+  return {
+    targets: [...(endpoints?.staying ?? []).map(describe('stays')), ...(endpoints?.leaving ?? []).map(describe('leaves'))],
+    ownDomain,
+    choose: (random) => chooseTarget(copy, candidates, ownDomain, now, random)?.node
+  }
+}
--- a/src/core/node/local.ts
+++ b/src/core/node/local.ts
@@ -6,11 +6,14 @@
 import { isAddress } from '../address/index.ts'
 import { check } from '../config/index.ts'
 import { fail } from '../errors/index.ts'
+import type { Failure } from '../errors/index.ts'
 import { checkFresh } from '../freshness/index.ts'
 import { readDocument } from '../http/index.ts'
 import { createRefusalRecorder } from '../log/index.ts'
 import type { Environment, Peers } from '../peers/index.ts'
+import { questionSchema } from '../where/index.ts'
 import type { OwnTarget } from './target.ts'
+import type { Where } from './where.ts'
 
 /** Largest announcement, in bytes. */
 const maxAnnouncementBytes = 64 * 1024
@@ -30,14 +33,20 @@
   state: v.optional(v.picklist(['up', 'leaving']), 'up')
 })
 
-function writeBadRequest (event: H3Event, reason: string): unknown {
-  const { name, message, hint, status } = fail('badRequest', { reason })
+/** Largest question where a request would go, in bytes. */
+const maxQuestionBytes = 16 * 1024
+
+function writeFailure (event: H3Event, { name, message, hint, status }: Failure): unknown {
   event.res.status = status
   return { error: name, message, hint }
 }
 
+function writeBadRequest (event: H3Event, reason: string): unknown {
+  return writeFailure(event, fail('badRequest', { reason }))
+}
+
 /** Creates the handler of the node's own paths on the loopback listener. */
-export function createLocalHandler (peers: Peers, target: OwnTarget, environment: Environment): (request: IncomingMessage, response: ServerResponse) => void {
+export function createLocalHandler (peers: Peers, target: OwnTarget, environment: Environment, where: Where): (request: IncomingMessage, response: ServerResponse) => void {
   const { clock, metrics } = environment
   const recordRefusal = createRefusalRecorder(environment)
   const app = new H3()
@@ -62,6 +71,15 @@
       load: target.gate.load()
     }
   })
+  app.post('/.dogwoodspring/where', async (event) => {
+    const document = await readDocument(event.req, { maxBytes: maxQuestionBytes })
+    const question = document.ok ? check(questionSchema, document.value) : document
+    if (!question.ok) return writeBadRequest(event, question.reason)
+    const authorization = event.req.headers.get('authorization') ?? undefined
+    const key = authorization === undefined ? undefined : /^Bearer +(\S+)$/i.exec(authorization)?.[1] ?? ''
+    const explained = where(question.value, key)
+    return explained.ok ? explained.value : writeFailure(event, explained)
+  })
   app.get('/metrics', (event) => {
     event.res.headers.set('content-type', 'text/plain; version=0.0.4')
     return metrics.expose()
--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -43,6 +43,7 @@
 import { beginsDuring, endStop } from './stop.ts'
 import type { Stop, StoppingRequest } from './stop.ts'
 import { createOwnTarget } from './target.ts'
+import { createWhere } from './where.ts'
 
 const stopPollMs = 20
 const handoverTimeoutMs = 5000
@@ -189,7 +190,8 @@
   const serveEntry = (request: IncomingMessage, response: ServerResponse, arrivedAt: number) => {
     trackResponse(request, response, () => serveCaller(request, response, arrivedAt, entryContext))
   }
-  const localHandler = createLocalHandler(peers, target, environment)
+  const where = createWhere({ dialect, peers, directory, rates, callSender, shareOf, findKeyFailure, mayBegin, environment })
+  const localHandler = createLocalHandler(peers, target, environment, where)
   const serveLocal = (request: IncomingMessage, response: ServerResponse, arrivedAt: number) => {
     if (request.url?.startsWith(ownPathPrefix) === true || request.url === '/metrics') return localHandler(request, response)
     if (request.headers[contextHeader] === undefined) return serveEntry(request, response, arrivedAt)
--- a/src/core/rate/client.ts
+++ b/src/core/rate/client.ts
@@ -35,6 +35,8 @@
   /** Uncounts a request that was counted at `admittedAt` and refused before it ran. A borrowed one cannot be uncounted. */
   refundRequest: (workspace: string, admittedAt: number) => void
   state: (workspace: string) => RateState
+  /** Returns the state of a workspace without creating one; undefined where this node has had no request of it. */
+  peek: (workspace: string) => RateState | undefined
   /** Stops reporting and returns the held allowances to the leader. No request may be admitted afterwards. */
   close: () => void
 }
@@ -132,6 +134,10 @@
     if (!closed) timer = setTimeout(checkWaiters, waiters.size > 0 ? waitingCheckMs : idleCheckMs)
   }
   let timer = setTimeout(checkWaiters, idleCheckMs)
+  const stateOf = (workspace: string): RateState => {
+    const now = clock.now()
+    return { ...meter.share(workspace, now), waiting: waiters.get(workspace)?.length ?? 0, unansweredMs: Math.round(now - (unansweredSince ?? now)) }
+  }
   return {
     admit (workspace) {
       const now = clock.now()
@@ -148,10 +154,8 @@
       reportIfDue()
       return admitted
     },
-    state (workspace) {
-      const now = clock.now()
-      return { ...meter.share(workspace, now), waiting: waiters.get(workspace)?.length ?? 0, unansweredMs: Math.round(now - (unansweredSince ?? now)) }
-    },
+    state: stateOf,
+    peek: (workspace) => meter.knows(workspace) ? stateOf(workspace) : undefined,
     refundRequest: (workspace, admittedAt) => meter.refund(workspace, admittedAt, clock.now()),
     close () {
       closed = true
--- a/src/core/rate/meters.ts
+++ b/src/core/rate/meters.ts
@@ -30,6 +30,8 @@
   demands: (now: number, all: boolean) => AnyDemand[]
   /** Returns what this node may still admit. */
   share: (workspace: string, now: number) => Share
+  /** Returns true once there was a request or a grant of the workspace. */
+  knows: (workspace: string) => boolean
 }
 
 /**
@@ -48,7 +50,8 @@
     refund () {},
     accept: (grant, sentAt, now) => 'rate' in grant ? acceptGrant(buckets, grant, sentAt, now) : 0,
     demands: (now) => collectDemands(buckets, now),
-    share: (workspace, now) => shareOfBucket(buckets, workspace, now)
+    share: (workspace, now) => shareOfBucket(buckets, workspace, now),
+    knows: (workspace) => buckets.has(workspace)
   }
 }
 
@@ -64,7 +67,8 @@
     refund: (workspace, admittedAt, now) => refundToWindow(meter, workspace, admittedAt, now),
     accept: (grant, sentAt, now) => 'allowance' in grant ? acceptWindowGrant(meter, grant, sentAt, now) : 0,
     demands: (now, all) => collectWindowDemands(meter, now, all),
-    share: (workspace, now) => shareOfWindow(meter, workspace, now)
+    share: (workspace, now) => shareOfWindow(meter, workspace, now),
+    knows: (workspace) => meter.accounts.has(workspace)
   }
 }
 
--- a/src/core/settings/index.ts
+++ b/src/core/settings/index.ts
@@ -13,7 +13,7 @@
 /** Unparsed settings by name, as given by flags or environment variables. */
 export type SettingTexts<Name extends SettingName> = { [Key in Name]?: string }
 
-const secretSettings: readonly SettingName[] = ['secrets', 'operatorToken', 'token']
+const secretSettings: readonly SettingName[] = ['secrets', 'operatorToken', 'token', 'key']
 
 /** Parses settings. Returns a failure for the first invalid one, with its flag, its value (hidden for secrets) and the allowed values. */
 export function readSettings<Name extends SettingName> (names: readonly Name[], texts: SettingTexts<Name>): Outcome<Settings<Name>> {
--- a/src/core/settings/schema.ts
+++ b/src/core/settings/schema.ts
@@ -106,6 +106,10 @@
   jsonLog: defineSetting({ flag: '--json-log', variable: 'DOGWOODSPRING_JSON_LOG', description: 'Write log lines as JSON', unit: 'true or false', fallback: 'false', example: 'true', schema: booleanSchema }),
   /** Administration API addresses for operators' commands. Default: 127.0.0.1:7080. */
   control: defineSetting({ flag: '--control', variable: 'DOGWOODSPRING_CONTROL', description: 'Addresses of the administration API, tried in order', unit: 'IP:PORT,…', fallback: '127.0.0.1:7080', example: '10.0.0.1:7080,10.0.1.1:7080', schema: addressListSchema }),
+  /** Local address of the node that an operator's command asks. */
+  node: defineSetting({ flag: '--node', variable: 'DOGWOODSPRING_NODE', description: 'Address of one node, which it prints as "local" at its start', unit: 'IP:PORT', example: '127.0.0.1:7070', schema: addressSchema }),
+  /** Key of a caller for whom an operator asks. */
+  key: defineSetting({ flag: '--key', variable: 'DOGWOODSPRING_KEY', description: 'Key of the caller; sent to the node only, never printed', unit: 'text', fallback: '', example: 'dws_…', schema: v.string() }),
   /** Token of the operator. */
   token: defineSetting({ flag: '--token', variable: 'DOGWOODSPRING_TOKEN', description: 'Token of the operator', unit: 'text', example: 'a-long-random-text', schema: v.pipe(v.string(), v.minLength(1)) })
 }
--- /dev/null
+++ b/src/core/where/index.ts
@@ -0,0 +1,5 @@
+export { explain } from './explanation.ts'
+export type { Explanation, RateView, RequestView, RouteView, ServiceView } from './explanation.ts'
+export { questionSchema } from './question.ts'
+export type { Question } from './question.ts'
+export type { KnownTarget, TargetView } from './targets.ts'
--- a/test/node/odd-announcements.test.ts
+++ b/test/node/odd-announcements.test.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo } from 'node:net'
 import { test } from 'node:test'
 import { systemClock as clock } from '../../src/core/clock/index.ts'
+import { fail } from '../../src/core/errors/index.ts'
 import { createFreshness } from '../../src/core/freshness/index.ts'
 import { silentLog } from '../../src/core/log/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
@@ -20,7 +21,7 @@
   const environment = { clock, random: createRandom(1), log: silentLog, metrics }
   const peers = { setTarget () {}, self: () => ({}), freshness: createFreshness() } as unknown as Peers
   const target = createOwnTarget(peers, environment, { drainMs: 1000, adaptiveLimit: false })
-  const server = createServer(createLocalHandler(peers, target, environment))
+  const server = createServer(createLocalHandler(peers, target, environment, () => fail('noDeployment')))
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
   const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}/.dogwoodspring/target`
   try {
