Returns without known room are spread over the later half of the usable time

Cause: after a full queue or a lost target the return came within 250 ms or 1 s, also where the cause lasts longer; most callers return once.

Change: such callers return in the later half of what they heed and can use, 1.5 s at most. Only a planned stop, which other nodes answer at once, is followed by 50 to 250 ms.

--- a/src/core/node/return-policy.ts
+++ b/src/core/node/return-policy.ts
@@ -1,6 +1,6 @@
-import type { Failure, FailureCode } from '../errors/index.ts'
+import type { Failure } from '../errors/index.ts'
 import type { Random } from '../random/index.ts'
-import { createReturns, planRateReturn, planReturn, planSoon, recordArrival } from '../returns/index.ts'
+import { createReturns, planRateReturn, planReturn, planSoon, planSpread, recordArrival } from '../returns/index.ts'
 import type { PlannedReturn, ShareOf, TimeLeft } from '../returns/index.ts'
 import { inProgressPriority } from './constants.ts'
 import { calleeKey } from './types.ts'
@@ -50,12 +50,6 @@
   random: Random
 }
 
-/** Failures that another attempt may not meet, though nothing has changed at the services behind the node. */
-const transientCodes = new Set<FailureCode>(['leaving', 'stale', 'noDeployment', 'claimUnavailable'])
-
-/** Failures for which a queue or a target had no room. */
-const overloadCodes = new Set<FailureCode>(['overloaded', 'notExecuted', 'noBodyRoom', 'quarantined'])
-
 /** Creates a policy that asks callers to return when there will be room, within the time that they can use. */
 export function createPlannedPolicy ({ shareOf, usualMs, admissibleRate, random }: ReturnInputs): ReturnPolicy {
   const returns = createReturns()
@@ -64,15 +58,17 @@
     recordArrival: (context, now) => recordArrival(returns, calleeKey(context), context.rank, now),
     forArrival ({ workspace, deadlineAt, callee }, failure, now) {
       const time = timeOf(deadlineAt, callee)
-      if (failure.code !== 'overRate' || workspace === undefined) return planSoon(time, random.next(), now)
+      if (failure.code === 'leaving') return planSoon(time, random.next(), now)
+      if (failure.code !== 'overRate' || workspace === undefined) return planSpread(time, random.next(), now)
       return planRateReturn(returns, { ...time, workspace, rate: admissibleRate(workspace) }, random.next(), now)
     },
     forCall ({ context, deadlineAt }, failure, now) {
       const { priority, rank, depth } = context
       const time = timeOf(deadlineAt, context)
+      if (failure.code === 'leaving') return planSoon(time, random.next(), now)
       const isOfCaller = priority > inProgressPriority && depth === 0
-      if (!isOfCaller || transientCodes.has(failure.code)) return planSoon(time, random.next(), now)
-      return planReturn(returns, { ...time, route: calleeKey(context), rank, isOverload: overloadCodes.has(failure.code) }, shareOf, random.next(), now)
+      if (!isOfCaller) return planSpread(time, random.next(), now)
+      return planReturn(returns, { ...time, route: calleeKey(context), rank }, shareOf, random.next(), now)
     },
     forStop: (now) => planSoon({ deadlineAt: Infinity, usualMs: 0 }, random.next(), now)
   }
--- a/src/core/returns/constants.ts
+++ b/src/core/returns/constants.ts
@@ -7,11 +7,11 @@
 /** Longest time after which a caller is asked to return, in milliseconds; what is known of the room does not reach further. */
 export const maxReturnMs = 5000
 
-/** Longest time after which a caller is asked to return that no lack of room kept out, in milliseconds. */
+/** Longest time after which a caller is asked to return that another node can serve at once, in milliseconds. */
 export const maxSoonMs = 250
 
-/** Longest time after which a caller is asked to return where a queue was full but room is not known to be short, in milliseconds. */
-export const maxSpreadMs = 1000
+/** Longest time after which a caller is asked to return where room is not known to be short, in milliseconds: full queues and lost targets last no longer, mostly. */
+export const maxSpreadMs = 1500
 
 /** Part of the time that a caller has left up to which it heeds a time to return. */
 export const heededFraction = 1 / 3
--- a/src/core/returns/returns.ts
+++ b/src/core/returns/returns.ts
@@ -29,19 +29,17 @@
   usualMs: number
 }
 
-/** A request that was refused for lack of room. */
+/** A request of a caller that was refused. */
 export interface RefusedRequest extends TimeLeft {
   /** Key of the route. */
   route: string
   /** Priority, from 0. */
   rank: number
-  /** True when a queue or a target had no room for the request. */
-  isOverload: boolean
 }
 
 /**
- * When a caller is to return. `booked`: room is set aside for it then. `spread`: within the time that it can use, as no room could be set aside.
- * `soon`: nothing but chance, a lost target or a stop kept it out. `late`: it has no time left in which its request could end.
+ * When a caller is to return. `booked`: room is set aside for it then. `spread`: in the later half of the time that it can use, as no room could be set
+ * aside. `soon`: another node can serve it at once. `late`: it has no time left in which its request could end.
  */
 export interface PlannedReturn {
   type: 'booked' | 'spread' | 'soon' | 'late'
@@ -87,29 +85,36 @@
   return { type: 'late', afterMs: Math.min(maxReturnMs, Math.max(0, (deadlineAt - now) * heededFraction)) }
 }
 
-/** Plans the return of a caller that was refused for another reason than lack of room. `draw` is uniform in [0, 1). */
+/** Plans the return of a caller that another node can serve at once. `draw` is uniform in [0, 1). */
 export function planSoon (time: TimeLeft, draw: number, now: number): PlannedReturn {
   const latestMs = latestMsOf(time, now)
   if (latestMs < minReturnMs) return planLate(time, now)
   return { type: 'soon', afterMs: between(minReturnMs, Math.min(latestMs, maxSoonMs), draw) }
 }
 
-/** Books a return, or spreads it over the later half of the time in which the caller can return: the lack of room may be over by then. */
+/** Spreads returns over the later half of the time in which their callers can return: what kept them out may be over by then. */
+function spread (latestMs: number, draw: number): PlannedReturn {
+  return { type: 'spread', afterMs: between(Math.max(minReturnMs, latestMs / 2), latestMs, draw) }
+}
+
+/** Plans the return of a caller where nothing is known of the room. `draw` is uniform in [0, 1). */
+export function planSpread (time: TimeLeft, draw: number, now: number): PlannedReturn {
+  const latestMs = latestMsOf(time, now)
+  return latestMs < minReturnMs ? planLate(time, now) : spread(Math.min(latestMs, maxSpreadMs), draw)
+}
+
+/** Books a return, or spreads it where there is no room in time. */
 function bookOrSpread (calendar: Calendar, booking: { rank: number, rate: number, higherRate: number }, latestMs: number, draw: number, now: number): PlannedReturn {
   const returnAt = book(calendar, { ...booking, earliestAt: now + minReturnMs, latestAt: now + latestMs }, now)
-  if (returnAt !== undefined) return { type: 'booked', afterMs: returnAt - now }
-  return { type: 'spread', afterMs: between(Math.max(minReturnMs, latestMs / 2), latestMs, draw) }
+  return returnAt === undefined ? spread(latestMs, draw) : { type: 'booked', afterMs: returnAt - now }
 }
 
-/** Plans the return of a caller that was refused for lack of room. `draw` is uniform in [0, 1). */
+/** Plans the return of a caller by the room of its route. `draw` is uniform in [0, 1). */
 export function planReturn (returns: Returns, request: RefusedRequest, shareOf: ShareOf, draw: number, now: number): PlannedReturn {
-  const { route, rank, isOverload } = request
+  const { route, rank } = request
   const latestMs = latestMsOf(request, now)
   if (latestMs < minReturnMs) return planLate(request, now)
-  if (shareOf(route, rank, now) >= 1) {
-    if (!isOverload) return planSoon(request, draw, now)
-    return { type: 'spread', afterMs: between(minReturnMs, Math.min(latestMs, maxSpreadMs), draw) }
-  }
+  if (shareOf(route, rank, now) >= 1) return planSpread(request, draw, now)
   const { demand, calendar } = routeOf(returns, route, now)
   let rate = 0
   let higherRate = 0
