--- a/src/core/node/attempts.ts
+++ b/src/core/node/attempts.ts
@@ -144,7 +144,7 @@
     const { service, priority } = call.context
     const key = throttleKey(call.context)
     const isNewRequest = priority > inProgressPriority && call.context.depth === 0
-    if (isNewRequest && call.isBookedReturn !== true && !isAdmitted(reportedFractionOf(reportedFractions, calleeKey(call.context), clock.now()), priority, random.next(), call.isExpectedRetry)) {
+    if (isNewRequest && call.isBookedReturn !== true && !isAdmitted(reportedFractionOf(reportedFractions, calleeKey(call.context), clock.now()) * (call.partForOthers ?? 1), priority, random.next(), call.isExpectedRetry)) {
       metrics.count(`turned_away_total{priority="${priority}"}`)
       return turnAway(call, 'refused before it began, as it leads to services that cannot bear more', 'admission fraction')
     }
--- a/src/core/node/entry.ts
+++ b/src/core/node/entry.ts
@@ -110,9 +110,7 @@
   invariant(arrival.route !== undefined && arrival.body !== undefined, 'the filters passed a request without a route or a body')
   const inProgress = isCallInProgress(arrival, context)
   const call = createCall(arrival, arrival.body, arrival.route, inProgress, dialect)
-  const expectedReturn = inProgress ? undefined : context.refusals.recordArrival(call.context)
-  call.isExpectedRetry = expectedReturn !== undefined
-  call.isBookedReturn = expectedReturn === 'booked'
+  if (!inProgress) Object.assign(call, context.refusals.recordArrival(call.context))
   if (inProgress) context.dependencies.recordCall(calleeKey(call.context))
   if (response.destroyed) call.cancellation.cancel()
   const ended: { end?: RequestEnd } = {}
--- a/src/core/node/refusals.ts
+++ b/src/core/node/refusals.ts
@@ -19,12 +19,15 @@
 const returnStatuses = new Set([429, 503, 504])
 
 /** A caller that returns as it was asked to: one for which room was set aside, or another. */
-export type ExpectedReturn = 'booked' | 'expected'
+type ExpectedReturn = 'booked' | 'expected'
+
+/** How a request that arrived is to be admitted where only a part of the requests may begin. */
+export type Preference = Required<Pick<Call, 'isExpectedRetry' | 'isBookedReturn' | 'partForOthers'>>
 
 /** Answers callers whose requests ended without an answer from a target. */
 export interface Refusals {
-  /** Counts a caller's request. Tells whether it returns as it was asked to; each expected return is matched once. */
-  recordArrival: (context: Pick<CallContext, 'service' | 'route' | 'rank' | 'fingerprint'>) => ExpectedReturn | undefined
+  /** Counts a caller's request, and recognises one that returns as it was asked to; each expected return is matched once. */
+  recordArrival: (context: Pick<CallContext, 'service' | 'route' | 'rank' | 'fingerprint'>) => Preference
   /** Decides when the caller of a request that a filter refused is asked to return; undefined for a refusal that does not say so. */
   askArrival: (arrival: Arrival, failure: Failure) => AskedReturn | undefined
   /** Decides when the caller of a call without an answer is asked to return, and expects it then; undefined for an end that does not say so. */
@@ -94,13 +97,18 @@
   return {
     recordArrival (context) {
       const now = clock.now()
-      policy.recordArrival(context, now)
       prune(now)
       const taken = takeReturn(context.fingerprint, now)
-      if (taken === undefined) return undefined
-      outstanding--
-      metrics.count(`returns_come_total{type="${taken}"}`)
-      return taken
+      const isBookedReturn = taken === 'booked'
+      if (taken !== undefined) {
+        outstanding--
+        metrics.count(`returns_come_total{type="${taken}"}`)
+      }
+      return {
+        isExpectedRetry: isBookedReturn || (taken !== undefined && policy.prefersUnbooked),
+        isBookedReturn,
+        partForOthers: policy.recordArrival(context, isBookedReturn, now)
+      }
     },
     askArrival ({ route, identity, arrivedAt, callerRequest }, failure) {
       if (!returnStatuses.has(failure.status)) return undefined
--- a/src/core/node/return-policy.ts
+++ b/src/core/node/return-policy.ts
@@ -1,7 +1,7 @@
 import type { Failure } from '../errors/index.ts'
 import type { Random } from '../random/index.ts'
-import { createReturns, planRateReturn, planReturn, planSoon, planSpread, recordArrival } from '../returns/index.ts'
-import type { PlannedReturn, ShareOf, TimeLeft } from '../returns/index.ts'
+import { createReturns, partForOthers, planRateReturn, planReturn, planSoon, planSpread, recordArrival } from '../returns/index.ts'
+import type { PlannedReturn, RankedRoute, ShareOf, TimeLeft } from '../returns/index.ts'
 import { inProgressPriority } from './constants.ts'
 import { calleeKey } from './types.ts'
 import type { Call, CallContext } from './types.ts'
@@ -26,8 +26,10 @@
 
 /** Decides when refused callers are asked to return. */
 export interface ReturnPolicy {
-  /** Counts a caller's request that arrived. */
-  recordArrival: (context: Pick<CallContext, 'service' | 'route' | 'rank'>, now: number) => void
+  /** Whether a caller that returns as told is preferred although no room was set aside for it. */
+  prefersUnbooked: boolean
+  /** Counts a caller's request that arrived. Returns the part of the share that is left for requests for which no room was set aside, 0 to 1. */
+  recordArrival: (context: Pick<CallContext, 'service' | 'route' | 'rank'>, isBooked: boolean, now: number) => number
   forArrival: (arrival: RefusedArrival, failure: Failure, now: number) => AskedReturn
   forCall: (call: Pick<Call, 'context' | 'deadlineAt'>, failure: Failure, now: number) => AskedReturn
   /** Returns when the caller of a request that this node gives up at its stop is to return. */
@@ -37,7 +39,7 @@
 /** Creates a policy that keeps refused callers from returning simultaneously, and knows nothing else. */
 export function createRandomPolicy (random: Random): ReturnPolicy {
   const ask = (): AskedReturn => ({ type: 'random', afterMs: minRandomMs + random.next() * (maxRandomMs - minRandomMs) })
-  return { recordArrival () {}, forArrival: ask, forCall: ask, forStop: ask }
+  return { prefersUnbooked: true, recordArrival: () => 1, forArrival: ask, forCall: ask, forStop: ask }
 }
 
 /** What the planned policy asks other parts of the node. */
@@ -55,7 +57,13 @@
   const returns = createReturns()
   const timeOf = (deadlineAt: number, callee: RefusedArrival['callee']): TimeLeft => ({ deadlineAt, usualMs: (callee && usualMs(callee)) ?? 0 })
   return {
-    recordArrival: (context, now) => recordArrival(returns, calleeKey(context), context.rank, now),
+    // Those without a place come as often as room is short; preferred, they would take the places of others and more than there is.
+    prefersUnbooked: false,
+    recordArrival (context, isBooked, now) {
+      const ranked: RankedRoute = { route: calleeKey(context), rank: context.rank }
+      recordArrival(returns, ranked, isBooked, now)
+      return partForOthers(returns, ranked, shareOf(ranked.route, ranked.rank, now), now)
+    },
     forArrival ({ workspace, deadlineAt, callee }, failure, now) {
       const time = timeOf(deadlineAt, callee)
       if (failure.code === 'leaving') return planSoon(time, random.next(), now)
--- a/src/core/node/types.ts
+++ b/src/core/node/types.ts
@@ -66,6 +66,8 @@
   isExpectedRetry?: boolean
   /** True for an expected retry for which room was set aside when its caller was refused. */
   isBookedReturn?: boolean
+  /** Part of the share of its route that is left for requests for which no room was set aside, 0 to 1. Default: 1. */
+  partForOthers?: number
 }
 
 /** Signals to the parts of a call that its caller has disconnected. */
--- a/src/core/returns/demand.ts
+++ b/src/core/returns/demand.ts
@@ -1,31 +1,29 @@
 import { demandDecayMs } from './constants.ts'
 
-/** Requests of one route that arrived lately, by rank, each counted with a weight that decays with time. */
+/** Requests of one kind that arrived lately, each counted with a weight that decays with time. */
 export interface Demand {
-  counts: number[]
+  count: number
   updatedAt: number
 }
 
-/** Creates the demand of a route without requests. */
+/** Creates the demand of a kind without requests. */
 export function createDemand (now: number): Demand {
-  return { counts: [], updatedAt: now }
+  return { count: 0, updatedAt: now }
 }
 
 function decay (demand: Demand, now: number): void {
-  const factor = Math.exp(-(now - demand.updatedAt) / demandDecayMs)
-  for (const [rank, count] of demand.counts.entries()) demand.counts[rank] = count * factor
+  demand.count *= Math.exp(-(now - demand.updatedAt) / demandDecayMs)
   demand.updatedAt = now
 }
 
 /** Counts a request. */
-export function countArrival (demand: Demand, rank: number, now: number): void {
+export function countArrival (demand: Demand, now: number): void {
   decay(demand, now)
-  while (demand.counts.length <= rank) demand.counts.push(0)
-  demand.counts[rank]++
+  demand.count++
 }
 
-/** Returns the arrivals by rank, in requests per ms. */
-export function ratesOf (demand: Demand, now: number): number[] {
+/** Returns the arrivals in requests per ms. */
+export function rateOf (demand: Demand, now: number): number {
   decay(demand, now)
-  return demand.counts.map((count) => count / demandDecayMs)
+  return demand.count / demandDecayMs
 }
--- a/src/core/returns/index.ts
+++ b/src/core/returns/index.ts
@@ -1,2 +1,2 @@
-export { createReturns, planRateReturn, planReturn, planSoon, planSpread, recordArrival } from './returns.ts'
-export type { PlannedReturn, RefusedRequest, Returns, ShareOf, TimeLeft } from './returns.ts'
+export { createReturns, partForOthers, planRateReturn, planReturn, planSoon, planSpread, recordArrival } from './returns.ts'
+export type { PlannedReturn, RankedRoute, RefusedRequest, Returns, ShareOf, TimeLeft } from './returns.ts'
--- a/src/core/returns/returns.ts
+++ b/src/core/returns/returns.ts
@@ -1,19 +1,21 @@
 import { book, createCalendar } from './calendar.ts'
 import type { Calendar } from './calendar.ts'
 import { heededFraction, maxCalendars, maxReturnMs, maxSoonMs, maxSpreadMs, minReturnMs, promisedFraction } from './constants.ts'
-import { countArrival, createDemand, ratesOf } from './demand.ts'
+import { countArrival, createDemand, rateOf } from './demand.ts'
 import type { Demand } from './demand.ts'
 
-/** What an entry node knows of one route. */
-interface RouteReturns {
-  demand: Demand
+/** What an entry node knows of the requests of one route and rank. */
+interface RankReturns {
+  arrivals: Demand
+  /** Those of the arrivals for which room had been set aside. */
+  booked: Demand
   calendar: Calendar
 }
 
 /** What one entry node has asked its refused callers to do. It is lost with the node; its callers then count as new. */
 export interface Returns {
-  /** By the key of the route. */
-  routes: Map<string, RouteReturns>
+  /** By the key of the route, and the rank. */
+  ranks: Map<string, RankReturns>
   /** Calendars of the callers that were refused over the rate of their workspace. */
   workspaces: Map<string, Calendar>
 }
@@ -29,14 +31,17 @@
   usualMs: number
 }
 
-/** A request of a caller that was refused. */
-export interface RefusedRequest extends TimeLeft {
+/** Requests of one route and rank. Each rank has its own share of the room, the higher ones the larger. */
+export interface RankedRoute {
   /** Key of the route. */
   route: string
   /** Priority, from 0. */
   rank: number
 }
 
+/** A request of a caller that was refused. */
+export type RefusedRequest = RankedRoute & TimeLeft
+
 /**
  * When a caller is to return. `booked`: room is set aside for it then. `spread`: in the later half of the time that it can use, as no room could be set
  * aside. `soon`: another node can serve it at once. `late`: it has no time left in which its request could end.
@@ -48,7 +53,7 @@
 
 /** Creates the state of a node that has refused nobody. */
 export function createReturns (): Returns {
-  return { routes: new Map(), workspaces: new Map() }
+  return { ranks: new Map(), workspaces: new Map() }
 }
 
 /** Returns the entry of a key, which becomes the most recently used one. */
@@ -61,13 +66,25 @@
   return entry
 }
 
-function routeOf (returns: Returns, route: string, now: number): RouteReturns {
-  return entryOf(returns.routes, route, () => ({ demand: createDemand(now), calendar: createCalendar(now) }))
+function rankOf (returns: Returns, { route, rank }: RankedRoute, now: number): RankReturns {
+  return entryOf(returns.ranks, `${route} ${rank}`, () => ({ arrivals: createDemand(now), booked: createDemand(now), calendar: createCalendar(now) }))
+}
+
+/** Counts a request that arrived, whether it begins or not. `isBooked` is true for one that returns as told and for which room was set aside. */
+export function recordArrival (returns: Returns, route: RankedRoute, isBooked: boolean, now: number): void {
+  const { arrivals, booked } = rankOf(returns, route, now)
+  countArrival(arrivals, now)
+  if (isBooked) countArrival(booked, now)
 }
 
-/** Counts a request that arrived, whether it begins or not. */
-export function recordArrival (returns: Returns, route: string, rank: number, now: number): void {
-  countArrival(routeOf(returns, route, now).demand, rank, now)
+/** Returns the part of the share that is left for requests for which no room was set aside, 0 to 1. */
+export function partForOthers (returns: Returns, route: RankedRoute, share: number, now: number): number {
+  if (share >= 1) return 1
+  const { arrivals, booked } = rankOf(returns, route, now)
+  const [all, promised] = [rateOf(arrivals, now), rateOf(booked, now)]
+  if (promised === 0) return 1
+  const begun = all * share
+  return promised >= begun ? 0 : (begun - promised) / (all - promised) / share
 }
 
 /** Returns the longest time after which a caller heeds the request to return and its request can still end, in ms; at most 0 when there is none. */
@@ -104,8 +121,8 @@
 }
 
 /** Books a return, or spreads it where there is no room in time. */
-function bookOrSpread (calendar: Calendar, booking: { rank: number, rate: number, higherRate: number }, latestMs: number, draw: number, now: number): PlannedReturn {
-  const returnAt = book(calendar, { ...booking, earliestAt: now + minReturnMs, latestAt: now + latestMs }, now)
+function bookOrSpread (calendar: Calendar, rate: number, latestMs: number, draw: number, now: number): PlannedReturn {
+  const returnAt = book(calendar, { rate, earliestAt: now + minReturnMs, latestAt: now + latestMs }, now)
   return returnAt === undefined ? spread(latestMs, draw) : { type: 'booked', afterMs: returnAt - now }
 }
 
@@ -114,16 +131,10 @@
   const { route, rank } = request
   const latestMs = latestMsOf(request, now)
   if (latestMs < minReturnMs) return planLate(request, now)
-  if (shareOf(route, rank, now) >= 1) return planSpread(request, draw, now)
-  const { demand, calendar } = routeOf(returns, route, now)
-  let rate = 0
-  let higherRate = 0
-  for (const [arrivalRank, arrivals] of ratesOf(demand, now).entries()) {
-    const share = Math.min(1, shareOf(route, arrivalRank, now))
-    rate += promisedFraction * arrivals * share
-    if (arrivalRank < rank) higherRate += arrivals * (1 - share)
-  }
-  return bookOrSpread(calendar, { rank, rate, higherRate }, latestMs, draw, now)
+  const share = shareOf(route, rank, now)
+  if (share >= 1) return planSpread(request, draw, now)
+  const { arrivals, calendar } = rankOf(returns, request, now)
+  return bookOrSpread(calendar, promisedFraction * rateOf(arrivals, now) * share, latestMs, draw, now)
 }
 
 /** Plans the return of a caller over the rate of its workspace, of which this node may admit `rate` requests per ms. `draw` is uniform in [0, 1). */
@@ -131,5 +142,5 @@
   const latestMs = latestMsOf(request, now)
   if (latestMs < minReturnMs) return planLate(request, now)
   const calendar = entryOf(returns.workspaces, request.workspace, () => createCalendar(now))
-  return bookOrSpread(calendar, { rank: 0, rate: promisedFraction * request.rate, higherRate: 0 }, latestMs, draw, now)
+  return bookOrSpread(calendar, promisedFraction * request.rate, latestMs, draw, now)
 }
--- a/test/node/refusals.test.ts
+++ b/test/node/refusals.test.ts
@@ -54,8 +54,10 @@
   const asked = refusals.askCaller(createCall('f'), refusedWith(overloaded))
   assert.equal(asked?.type, 'booked')
   clock.time += asked?.afterMs ?? 0
-  assert.equal(refusals.recordArrival(createCall('f').context), 'booked')
-  assert.equal(refusals.recordArrival(createCall('f').context), undefined)
+  assert.equal(refusals.recordArrival(createCall('f').context).isBookedReturn, true)
+  const second = refusals.recordArrival(createCall('f').context)
+  assert.deepEqual([second.isBookedReturn, second.isExpectedRetry], [false, false])
+  assert.ok(second.partForOthers < 1, 'the return has taken room')
   assert.equal(metrics.value('returns_expected_total{type="booked"}'), 1)
   assert.equal(metrics.value('returns_come_total{type="booked"}'), 1)
   assert.equal(metrics.value('returns_missed_total'), 0)
@@ -90,7 +92,7 @@
   assert.ok(stillDue.length > 10)
   for (const { fingerprint, dueAt } of stillDue) {
     clock.time = dueAt
-    assert.equal(refusals.recordArrival(createCall(fingerprint).context), 'booked')
+    assert.equal(refusals.recordArrival(createCall(fingerprint).context).isBookedReturn, true)
   }
 })
 
@@ -151,5 +153,6 @@
     assert.ok(asked?.type === 'random' && asked.afterMs >= 500 && asked.afterMs <= 1500)
   }
   clock.time += 1000
-  assert.equal(refusals.recordArrival(createCall('f').context), 'expected')
+  const { isExpectedRetry, isBookedReturn, partForOthers } = refusals.recordArrival(createCall('f').context)
+  assert.deepEqual([isExpectedRetry, isBookedReturn, partForOthers], [true, false, 1])
 })
--- a/test/returns/returns.test.ts
+++ b/test/returns/returns.test.ts
@@ -34,7 +34,7 @@
   for (let now = fromMs; now < untilMs; now++) {
     for (const { rank, timeoutMs, every } of loads) {
       if (now % every !== 0) continue
-      recordArrival(returns, 'r', rank, now)
+      recordArrival(returns, { route: 'r', rank }, false, now)
       if (random.next() < shareOf(rank, now)) continue
       const request: RefusedRequest = { route: 'r', rank, deadlineAt: now + timeoutMs, usualMs }
       const planned = planReturn(returns, request, (_, of, at) => shareOf(of, at), random.next(), now)
