Only returns of callers are expected; keys with spaces reach the explanation of a node

Cause: calls of requests in progress were counted as expected returns and never matched, so that returns_missed_total grew without a caller. Keys of deployments may hold spaces, which the local interface cut.

--- a/src/core/node/local.ts
+++ b/src/core/node/local.ts
@@ -45,6 +45,11 @@
   return writeFailure(event, fail('badRequest', { reason }))
 }
 
+/** Returns the key of an Authorization header; an empty one, which nobody has, for a header of another form. */
+function bearerOf (authorization: string): string {
+  return /^Bearer (.+)$/i.exec(authorization)?.[1] ?? ''
+}
+
 /** Creates the handler of the node's own paths on the loopback listener. */
 export function createLocalHandler (peers: Peers, target: OwnTarget, environment: Environment, where: Where): (request: IncomingMessage, response: ServerResponse) => void {
   const { clock, metrics } = environment
@@ -75,9 +80,8 @@
     const document = await readDocument(event.req, { maxBytes: maxQuestionBytes })
     const question = document.ok ? check(questionSchema, document.value) : document
     if (!question.ok) return writeBadRequest(event, question.reason)
-    const authorization = event.req.headers.get('authorization') ?? undefined
-    const key = authorization === undefined ? undefined : /^Bearer +(\S+)$/i.exec(authorization)?.[1] ?? ''
-    const explained = where(question.value, key)
+    const authorization = event.req.headers.get('authorization')
+    const explained = where(question.value, authorization === null ? undefined : bearerOf(authorization))
     return explained.ok ? explained.value : writeFailure(event, explained)
   })
   app.get('/metrics', (event) => {
--- a/src/core/node/refusals.ts
+++ b/src/core/node/refusals.ts
@@ -5,6 +5,7 @@
 import { fail } from '../errors/index.ts'
 import type { Failure } from '../errors/index.ts'
 import type { Environment } from '../peers/index.ts'
+import { inProgressPriority } from './constants.ts'
 import type { Dialect } from './dialect.ts'
 import { requestTimeoutMs } from './filters.ts'
 import type { Arrival } from './filters.ts'
@@ -121,7 +122,9 @@
       if (failure === undefined || call.cancellation.cancelled) return undefined
       const now = clock.now()
       const asked = recordAsked(policy.forCall(call, failure, now))
-      const isExpected = outcome.type === 'refused' && asked.type !== 'late'
+      const { priority, depth } = call.context
+      const isOfCaller = priority > inProgressPriority && depth === 0
+      const isExpected = isOfCaller && outcome.type === 'refused' && asked.type !== 'late'
       if (isExpected) expectReturn(asked.type === 'booked' ? 'booked' : 'expected', call.context.fingerprint, now + asked.afterMs)
       return asked
     },
--- a/src/core/settings/schema.ts
+++ b/src/core/settings/schema.ts
@@ -109,7 +109,7 @@
   /** Local address of the node that an operator's command asks. */
   node: defineSetting({ flag: '--node', variable: 'DOGWOODSPRING_NODE', description: 'Address of one node, which it prints as "local" at its start', unit: 'IP:PORT', example: '127.0.0.1:7070', schema: addressSchema }),
   /** Key of a caller for whom an operator asks. */
-  key: defineSetting({ flag: '--key', variable: 'DOGWOODSPRING_KEY', description: 'Key of the caller; sent to the node only, never printed', unit: 'text', fallback: '', example: 'dws_…', schema: v.string() }),
+  key: defineSetting({ flag: '--key', variable: 'DOGWOODSPRING_KEY', description: 'Key of the caller; sent to the node only, never printed', unit: 'text', fallback: '', example: 'dws_…', schema: v.pipe(v.string(), v.regex(/^[\x20-\x7e]*$/, 'printable ASCII characters')) }),
   /** Token of the operator. */
   token: defineSetting({ flag: '--token', variable: 'DOGWOODSPRING_TOKEN', description: 'Token of the operator', unit: 'text', example: 'a-long-random-text', schema: v.pipe(v.string(), v.minLength(1)) })
 }
--- a/test/cli/where.test.ts
+++ b/test/cli/where.test.ts
@@ -114,7 +114,8 @@
     [['--node', node.localAddress, '--workspace', 'w', 'trays'], 2, 'bad_request'],
     [['--node', `${network.host(10, 2)}:9`, '--workspace', 'w', '/trays/1'], 1, 'node_unreachable'],
     [['--node', node.listenAddress, '--workspace', 'w', '/trays/1'], 1, 'unknown_route'],
-    [['--workspace', 'w', '/trays/1'], 2, 'invalid_setting']
+    [['--workspace', 'w', '/trays/1'], 2, 'invalid_setting'],
+    [['--node', node.localAddress, '--key', `${key}é`, '/trays/1'], 2, 'invalid_setting']
   ]
   for (const [args, expected, name] of cases) {
     const { code, stdout, stderr } = await runWhere(args)
--- a/test/node/refusals.test.ts
+++ b/test/node/refusals.test.ts
@@ -112,13 +112,14 @@
   }
 })
 
-test('a caller that has left, or whose request may have run, is not expected', () => {
+test('a caller that has left, one whose request may have run, and a request in progress are not expected', () => {
   const { metrics, refusals, createCall } = createDesk()
   const left = createCall('f')
   left.cancellation.cancel()
   assert.equal(refusals.askCaller(left, refusedWith(overloaded)), undefined)
   assert.equal(refusals.askCaller(createCall('f'), { type: 'failed', failure: fail('unknownOutcome', { reason: 'lost' }), crashed: false, report: emptyReport }), undefined)
   assert.equal(refusals.askCaller(createCall('f'), refusedWith(fail('keyReused'))), undefined)
+  assert.equal(refusals.askCaller(createCall('f', { priority: -1 }), refusedWith(overloaded))?.type, 'spread')
   assert.equal(metrics.value('returns_expected_total{type="expected"}'), 0)
 })
 
