--- a/test/platform/translation.test.ts
+++ b/test/platform/translation.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict'
 import { mkdtempSync, writeFileSync } from 'node:fs'
 import { IncomingMessage } from 'node:http'
+import type { ServerResponse } from 'node:http'
 import { Socket } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
@@ -12,6 +13,7 @@
 import { boundMs, coreSettingsSchema, peerAddresses, readSettingsFile } from '../../platform/settings.ts'
 import { parseDuration, parseVersion } from '../../platform/values.ts'
 import { digest } from '../../src/core/auth/index.ts'
+import { fail } from '../../src/core/errors/index.ts'
 import type { Call } from '../../src/core/node/types.ts'
 
 const configurationDocument = {
@@ -163,3 +165,18 @@
   assert.match(stderr, /DOGWOODSPRING_BOOT is "\/nowhere"; allowed: .*no such file/)
   assert.match(stderr, /--cluster-secret is "\(hidden\)"; allowed: at least 16 characters each/)
 })
+
+test('a refusal never asks its caller to wait for longer than planned', () => {
+  const dialect = createDialect('s', '10.0.0.2')
+  for (const [retryAfterMs, expected] of [[499.9, '0.49'], [50, '0.05'], [0, '0.00'], [1666.66, '1.66']] as const) {
+    const sent: Array<Record<string, string>> = []
+    const response = {
+      writeHead (_: number, headers: Record<string, string>) {
+        sent.push(headers)
+        return { end () {} }
+      }
+    } as unknown as ServerResponse
+    dialect.writeRefusal(response, { failure: fail('overloaded', { service: 's', reason: 'short' }), run: 'not-run', retryAfterMs })
+    assert.equal(sent[0]['retry-after'], expected)
+  }
+})
