--- a/src/core/admission/index.ts
+++ b/src/core/admission/index.ts
@@ -6,7 +6,7 @@
 export { slotsForWorking, waitingSlots } from './held-slots.ts'
 export { groupOf, rankOf } from './rank.ts'
 export type { Group } from './rank.ts'
-export { createAdmissionFraction, isAdmitted, recordInProgressWait, recordInProgressRefusal, updateAdmissionFraction } from './fraction.ts'
+export { admittedPart, createAdmissionFraction, isAdmitted, recordInProgressWait, recordInProgressRefusal, updateAdmissionFraction } from './fraction.ts'
 export type { AdmissionFraction } from './fraction.ts'
 export { createRankedFractions, rankedFractionOf, recordRankedWait } from './ranked-fractions.ts'
 export { createReportedFractions, recordReportedFraction, reportedFractionOf } from './reported-fractions.ts'
--- a/src/core/node/attempts.ts
+++ b/src/core/node/attempts.ts
@@ -9,6 +9,7 @@
 import { createRetryTokens, depositRetryToken, releaseBudget, reserveBudget, mayRetry, divideFleetRetries, consumeAttempt, takeRetryToken } from '../retries/index.ts'
 import type { Budget } from '../retries/index.ts'
 import { chooseTarget, createKnownStops, createTargetStats, recordAnswer, recordFailure, recordStart, recordStatement, statsOf } from '../routing/index.ts'
+import type { ServiceView } from '../where/index.ts'
 import { inProgressPriority } from './constants.ts'
 import type { Decisions, TurnAway } from './decisions.ts'
 import { createDurations } from './durations.ts'
@@ -16,6 +17,7 @@
 import { countEndpoints, endpointsByService, nextEndpoints } from './endpoints.ts'
 import type { Endpoint, ServiceEndpoints } from './endpoints.ts'
 import type { Forwarder } from './forward.ts'
+import { inspectTargets } from './inspection.ts'
 import type { RoomShares } from './room-shares.ts'
 import type { CallServer } from './serve.ts'
 import type { StoppingRequest } from './stop.ts'
@@ -27,11 +29,18 @@
 
 const pruneEveryMs = 5000
 
+/** Properties of a request by which the throttle tells requests apart. */
+type ThrottledRequest = Pick<CallContext, 'template' | 'route' | 'service' | 'workspace' | 'priority'>
+
 /** Sends calls to targets, with retries where they are allowed. */
 export interface CallSender {
   send: (call: Call, budget: Budget, sink: Sink) => Promise<AttemptOutcome>
   /** Returns the longest time in ms that calls to a service and route have taken lately; undefined when none has ended. */
   longestMs: (callee: Pick<CallContext, 'service' | 'route'>) => number | undefined
+  /** Returns the mean time in ms that calls to a service and route have taken lately; undefined when none was answered. */
+  meanMs: (callee: Pick<CallContext, 'service' | 'route'>) => number | undefined
+  /** Shows what decides where a request with this deadline would go, and changes nothing. */
+  inspect: (request: ThrottledRequest, deadlineAt: number) => Pick<ServiceView, 'targets' | 'ownDomain' | 'choose' | 'passFraction'>
   /** Takes over changes of the list of members; the time of this call counts as the time at which their stops became known. */
   refreshMembers: () => void
   close: () => void
@@ -151,7 +160,7 @@
   const mayBeginNew = (call: Call, share: number): boolean => {
     if (roomShares !== undefined) return share === 1 || roomShares.mayBegin(call, share)
     const fraction = reportedFractionOf(reportedFractions, fractionKeyOf(call.context), clock.now())
-    return isAdmitted(fraction, call.context.priority, random.next(), call.isExpectedRetry)
+    return call.isBookedReturn === true || isAdmitted(fraction * (call.partForOthers ?? 1), call.context.priority, random.next(), call.isExpectedRetry)
   }
   const mayBeginAnother = ({ context, deadlineAt }: Call): boolean =>
     mayBegin({ source: 'caller', timeoutMs: deadlineAt - clock.now(), longestMs: durations.longest(calleeKey(context)) })
@@ -161,11 +170,11 @@
     decisions.turnAway(call, failure, { rule, fraction })
     return createRefusal(failure, true)
   }
-  const throttleKey = ({ context }: Call) => `${context.template}/${context.route}/${context.workspace ?? ''}/${context.priority}`
+  const throttleKey = ({ template, route, workspace, priority }: ThrottledRequest) => `${template}/${route}/${workspace ?? ''}/${priority}`
 
   const sendUnrecorded = async (call: Call, budget: Budget, sink: Sink): Promise<AttemptOutcome> => {
     const { service, priority } = call.context
-    const key = throttleKey(call)
+    const key = throttleKey(call.context)
     const isNewRequest = priority > inProgressPriority && call.context.depth === 0
     const share = shareOf(call.context)
     if (isNewRequest && !mayBeginNew(call, share)) {
@@ -238,6 +247,13 @@
       }
     },
     longestMs: (callee) => durations.longest(calleeKey(callee)),
+    meanMs: (callee) => durations.mean(calleeKey(callee)),
+    inspect (request, deadlineAt) {
+      const members = peers.members()
+      const known = members === indexedMembers ? endpoints : endpointsByService(members, stops)
+      const view = { endpoints: known.get(request.service), statsByNode, ownDomain: peers.self().domain, callee: roomPlacement ? calleeKey(request) : undefined, deadlineAt }
+      return { ...inspectTargets(view, clock.now()), passFraction: throttle.get(throttleKey(request))?.passFraction ?? 1 }
+    },
     refreshMembers,
     close: () => clearInterval(timer)
   }
--- a/src/core/node/entry.ts
+++ b/src/core/node/entry.ts
@@ -105,14 +105,15 @@
     const checked = pending instanceof Promise ? await pending : pending
     if (checked.ok) continue
     metrics.count(`refused_total{code="${checked.name}"}`)
-    decisions.refuseArrival(arrival, checked)
-    return context.refusals.refuseArrival(response, checked, arrival)
+    const asked = context.refusals.askArrival(arrival, checked)
+    decisions.refuseArrival(arrival, checked, asked)
+    return context.refusals.refuseArrival(response, checked, arrival, asked)
   }
   invariant(arrival.route !== undefined && arrival.body !== undefined, 'the filters passed a request without a route or a body')
   const inProgress = isCallInProgress(arrival, context)
   const rank = inProgress ? context.estimateRank(arrival.route) : undefined
   const call = createCall(arrival, arrival.body, arrival.route, rank, dialect)
-  call.isExpectedRetry = !inProgress && context.refusals.matchExpectedRetry(call.context.fingerprint)
+  if (!inProgress) Object.assign(call, context.refusals.recordArrival(call.context))
   if (inProgress) context.dependencies.recordCall(calleeKey(call.context))
   if (response.destroyed) call.cancellation.cancel()
   const ended: { end?: RequestEnd } = {}
@@ -130,7 +131,8 @@
   metrics.time('call', clock.now() - arrivedAt)
   metrics.count(`calls_total{outcome="${outcome.type}"}`)
   metrics.count('extra_attempts_total', budget.used)
-  ended.end = { outcome, extraAttempts: budget.used, startedAt: arrivedAt }
+  const askedReturn = context.refusals.askCaller(call, outcome)
+  ended.end = { outcome, extraAttempts: budget.used, startedAt: arrivedAt, askedReturn }
   decisions.endRequest(call, ended.end)
-  await context.refusals.refuseUnlessAnswered(response, call, outcome)
+  await context.refusals.refuseUnlessAnswered(response, call, outcome, askedReturn)
 }
--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, Server, ServerOptions, ServerResponse } from 'node:http'
 import { randomId } from '../auth/index.ts'
 import { createClaimClient } from '../claims/client.ts'
-import { createReportedFractions } from '../admission/index.ts'
+import { admittedPart, createReportedFractions, reportedFractionOf } from '../admission/index.ts'
 import type { Hash } from '../claims/index.ts'
 import type { EffectiveRoute } from '../config/index.ts'
 import { serveClaims } from '../claims/service.ts'
@@ -35,6 +35,7 @@
 import { createPipeline } from './pipeline.ts'
 import type { PipelineOptions } from './pipeline.ts'
 import { createRefusals } from './refusals.ts'
+import { createPlannedPolicy, createRandomPolicy } from './return-policy.ts'
 import { watchRoom } from './room-log.ts'
 import { createRoomShares } from './room-shares.ts'
 import { createRunningRequests, giveUpRunning } from './running.ts'
@@ -45,12 +46,16 @@
 import { beginsDuring, endStop } from './stop.ts'
 import type { Stop, StoppingRequest } from './stop.ts'
 import { createOwnTarget } from './target.ts'
-import { calleeKey } from './types.ts'
+import { calleeKey, fractionKey } from './types.ts'
+import { createWhere } from './where.ts'
 
 const stopPollMs = 20
 const handoverTimeoutMs = 5000
 const reportIntervalMs = 2000
 
+/** Time for which the share of a workspace holds where its rate is a token bucket, in milliseconds. */
+const bucketRateMs = 1000
+
 /** Settings of a node. */
 export interface NodeOptions {
   id: string
@@ -139,7 +144,13 @@
   peers.onMemberChange((member) => {
     if (member.leaving === true || member.target?.state === 'leaving') callSender.refreshMembers()
   })
-  const refusals = createRefusals(claims, dialect, random, clock)
+  const shareOf = (callee: string, rank: number, now: number) => {
+    if (roomShares !== undefined) return roomShares.shareOf(callee, rank)
+    return admittedPart(reportedFractionOf(reportedFractions, fractionKey(callee, rank, rankedWaiting), now), rank)
+  }
+  const admissibleRate = (workspace: string) => rates.state(workspace).share / (options.rateWindowMs || bucketRateMs)
+  const policy = options.plannedReturns === false ? createRandomPolicy(random) : createPlannedPolicy({ shareOf, usualMs: callSender.meanMs, admissibleRate, random })
+  const refusals = createRefusals({ claims, dialect, policy, environment })
   const bodyBudget = createBodyBudget(maxPeerBodyBytes)
   const begunResponses = new WeakSet<ServerResponse>()
   const recordBegun = (response: ServerResponse): boolean => {
@@ -190,7 +201,8 @@
   const serveEntry = (request: IncomingMessage, response: ServerResponse, arrivedAt: number) => {
     trackResponse(request, response, () => serveCaller(request, response, arrivedAt, entryContext))
   }
-  const localHandler = createLocalHandler(peers, target, environment)
+  const where = createWhere({ dialect, peers, directory, rates, callSender, shareOf, findKeyFailure, mayBegin, environment })
+  const localHandler = createLocalHandler(peers, target, environment, where)
   const serveLocal = (request: IncomingMessage, response: ServerResponse, arrivedAt: number) => {
     if (request.url?.startsWith(ownPathPrefix) === true || request.url === '/metrics') return localHandler(request, response)
     if (request.headers[contextHeader] === undefined) return serveEntry(request, response, arrivedAt)
--- a/test/node/attempts.test.ts
+++ b/test/node/attempts.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { createReportedFractions } from '../../src/core/admission/index.ts'
+import { createReportedFractions, recordReportedFraction } from '../../src/core/admission/index.ts'
 import { systemClock } from '../../src/core/clock/index.ts'
 import { fail } from '../../src/core/errors/index.ts'
 import { silentLog } from '../../src/core/log/index.ts'
@@ -50,7 +50,7 @@
 }
 
 /** Sends one call with five extra attempts; `outcomesOf` gives the outcomes of each node's attempts in order. Returns the outcome, the nodes tried and the budget left. */
-async function send (outcomesOf: Record<string, AttemptOutcome[]>, idempotent: boolean, waitMs?: number, mayBegin = () => true) {
+async function send (outcomesOf: Record<string, AttemptOutcome[]>, idempotent: boolean, waitMs?: number, mayBegin = () => true, { fraction, isBookedReturn = false }: { fraction?: number, isBookedReturn?: boolean } = {}) {
   const nodes: string[] = []
   const waits: Array<number | undefined> = []
   const forward = async (node: string, { context }: Call) => {
@@ -58,9 +58,11 @@
     waits.push(context.waitMs)
     return outcomesOf[node].shift() ?? answered
   }
-  const sender = createSender(Object.keys(outcomesOf), forward, { mayBegin })
+  const reportedFractions = createReportedFractions()
+  if (fraction !== undefined) recordReportedFraction(reportedFractions, 's/r', 'a', fraction, systemClock.now())
+  const sender = createSender(Object.keys(outcomesOf), forward, { mayBegin, reportedFractions })
   const budget = createBudget(5)
-  const outcome = await sender.send(createCall({ idempotent, waitMs }), budget, {} as Sink)
+  const outcome = await sender.send({ ...createCall({ idempotent, waitMs }), isBookedReturn }, budget, {} as Sink)
   sender.close()
   return { outcome, nodes, waits, budget }
 }
@@ -111,3 +113,10 @@
   assert.deepEqual(await sendRanks([3, 0, 3, 0], true), ['answered', 'answered', 'refused', 'answered'])
   assert.deepEqual(await sendRanks([3, 0, 3, 0], false), ['answered', 'refused', 'refused', 'refused'])
 })
+
+test('a caller for whom room was set aside is admitted before those who come for the first time', async () => {
+  const first = await send({ a: [] }, true, undefined, undefined, { fraction: 0 })
+  assert.deepEqual([first.outcome.type, first.nodes], ['refused', []])
+  const returning = await send({ a: [] }, true, undefined, undefined, { fraction: 0, isBookedReturn: true })
+  assert.deepEqual([returning.outcome, returning.nodes], [answered, ['a']])
+})
