--- a/test/node/serve.test.ts
+++ b/test/node/serve.test.ts
@@ -20,6 +20,7 @@
 import { defaultDialect } from '../../src/core/node/dialect.ts'
 import type { Dialect } from '../../src/core/node/dialect.ts'
 import { createGate } from '../../src/core/node/gate.ts'
+import type { RoomShares } from '../../src/core/node/room-shares.ts'
 import { createCallServer } from '../../src/core/node/serve.ts'
 import { createSpans } from '../../src/core/node/spans.ts'
 import { createCancellation } from '../../src/core/node/types.ts'
@@ -108,7 +109,7 @@
 
 /** Creates a call server for a raw target, with fakes for the rest of the node. */
 async function withTarget (
-  answer: Answer, use: (serve: Serve, connections: readonly Socket[]) => Promise<void>, dialect: Dialect = defaultDialect, claims: Partial<ClaimClient> = {}, log: Log = silentLog, abandoned: string[] = []
+  answer: Answer, use: (serve: Serve, connections: readonly Socket[]) => Promise<void>, dialect: Dialect = defaultDialect, claims: Partial<ClaimClient> = {}, log: Log = silentLog, abandoned: string[] = [], roomShares?: RoomShares
 ): Promise<void> {
   const raw = await startRaw(answer)
   const { port } = raw.address() as AddressInfo
@@ -127,7 +128,7 @@
   const requestLog = createRequestLog('n', log, environment.metrics, systemClock)
   const decisions = createDecisions({ requestLog, dialect, target, clock: systemClock, directory: { limitOf: () => undefined }, rates: {} as RateClient, revision: () => 1, stop: () => undefined })
   const crashes = { recordCompletion () {}, checkForCrash: async () => false, recordAbandoned: (fingerprint: string) => void abandoned.push(fingerprint), close () {} }
-  const server = createCallServer({ dependencies: createDependencies(systemClock), reportedFractions: createReportedFractions(), dialect, findKeyFailure: () => undefined, mayBegin: () => true, peers, target, claims: claims as ClaimClient, crashes, spans: createSpans(), decisions, environment })
+  const server = createCallServer({ dependencies: createDependencies(systemClock), reportedFractions: createReportedFractions(), roomShares, dialect, findKeyFailure: () => undefined, mayBegin: () => true, peers, target, claims: claims as ClaimClient, crashes, spans: createSpans(), decisions, environment })
   try {
     await use(async (id, context = {}, received = createReceived(), leavesAfterMs = Infinity) => {
       const call = createCall(id)
@@ -567,3 +568,27 @@
   }, defaultDialect, {}, silentLog, abandoned)
   assert.deepEqual(abandoned, ['left', 'late'])
 })
+
+test('shares of the room see each call come, start and leave once, and are stated with its end', async () => {
+  const events: string[] = []
+  const record = (event: string) => ({ attempt }: CallContext, outcome?: AttemptOutcome) => void events.push([attempt, event, outcome?.type].filter(Boolean).join(' '))
+  const shares = { enter: record('enters'), start: record('starts'), leave: record('leaves'), stateShare: () => 0.25 } as unknown as RoomShares
+  const answer: Answer = (request, socket) => {
+    if (idOf(request) === 'cut') socket.destroy()
+    else socket.write(completeAnswer('x'))
+  }
+  await withTarget(answer, async (serve) => {
+    const { outcome } = await serve('a', { attempt: 'well' })
+    assert.equal(outcome.report.share, 0.25)
+    await serve('cut', { attempt: 'cut' })
+    await serve('b', { attempt: 'elsewhere', service: 'other' })
+    const late = await serve('c', { attempt: 'claimed', ...needsClaim })
+    assert.equal(late.outcome.report.share, 0.25)
+  }, defaultDialect, { acquire: async () => ({ type: 'unavailable', reason: 'x' }), release () {} }, silentLog, [], shares)
+  assert.deepEqual(events, [
+    'well enters', 'well starts', 'well leaves answered',
+    'cut enters', 'cut starts', 'cut leaves failed',
+    'elsewhere leaves refused',
+    'claimed enters', 'claimed starts', 'claimed leaves refused'
+  ])
+})
