Tests: crowds that send ahead and read no answers end processes or leave others unserved

Nothing showed it in a test. The runner plays these files one after the other once all others have ended.

--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -1,4 +1,5 @@
-// Builds the binary if it is outdated, then runs every test file below test/ with Node's test runner through tsx.
+// Builds the binary if it is outdated, then runs every test file below test/ with Node's test runner through tsx. Those below test/crowds/, which fill
+// the memory of processes, run one after the other once all others have ended.
 import { spawnSync } from 'node:child_process'
 import { readdirSync } from 'node:fs'
 import { join } from 'node:path'
@@ -9,7 +10,15 @@
   .filter((file) => file.endsWith('.test.ts'))
   .map((file) => join('test', file))
   .sort()
-const result = spawnSync(process.execPath, [
-  '--import', 'tsx', '--test', '--test-reporter=spec', '--test-concurrency=3', ...process.argv.slice(2), ...files
-], { stdio: 'inherit' })
-process.exit(result.status ?? 1)
+const crowds = join('test', 'crowds')
+const together = run(files.filter((file) => !file.startsWith(crowds)), 3)
+const alone = run(files.filter((file) => file.startsWith(crowds)), 1)
+process.exit(together === 0 ? alone : together)
+
+/** Runs test files, `concurrency` at a time, and returns the exit code. */
+function run (paths, concurrency) {
+  const result = spawnSync(process.execPath, [
+    '--import', 'tsx', '--test', '--test-reporter=spec', `--test-concurrency=${concurrency}`, ...process.argv.slice(2), ...paths
+  ], { stdio: 'inherit' })
+  return result.status ?? 1
+}
--- a/test/platform/machines.ts
+++ b/test/platform/machines.ts
@@ -59,6 +59,8 @@
   sendHeartbeatText: (sidecar: number, id: string, body: string) => Promise<Reply>
   /** Port for traffic between processes, the same on all machines. */
   peerPort: number
+  /** Port of the control listener, the same on all machines. */
+  controlPort: number
   /** Port at which sidecars report whether they are ready, the last one that they open. */
   readyPort: number
   isRunning: (name: string) => boolean
@@ -229,6 +231,7 @@
     sendFromMachine: (sidecar, path, headers) => send(sidecar, path, headers, new Agent({ localAddress: sidecarIp(sidecar) })),
     sendHeartbeatText: (sidecar, id, body) => sendCall(`http://${sidecarIp(sidecar)}:${control}${callPath}?call=instances.heartbeat&of=${id}`, { method: 'POST', body }),
     peerPort: peer,
+    controlPort: control,
     readyPort: ready,
     isRunning: (name) => children.get(name)?.child.exitCode === null && children.get(name)?.child.signalCode === null,
     pidOf: (name) => children.get(name)?.child.pid ?? 0,
