What a process holds for its clients is bounded

Cause: Node hands all requests of a piece of 64 KB to its listener at once, thousands of small ones with their objects, and takes no notice of how many are unanswered. Only the callers' listeners had a bound of their own, and it came into play after the piece. Change: createClients (src/core/http/) creates the HTTP servers of all listeners: callers, local, control and ready listener, operators, administration, and the one between processes, which has a group of its own. Each connection is parsed a few requests at a time, is not read further while it or the process holds as many requests as it may, and always goes on with one request. Bytes of answers not taken and of requests not parsed, bytes of unfinished heads and connections are bounded over all; beyond, the connection that holds most is closed, or the one idle longest. The bounds are checked settings with metrics and a line when they are reached and left. The pipeline no longer pauses its connections itself; its tests run on such servers.

--- a/src/cli/control/index.ts
+++ b/src/cli/control/index.ts
@@ -1,4 +1,5 @@
 import { Command } from 'clipanion'
+import { clientSettings } from '../../core/settings/index.ts'
 import { checkSettings, flag, printFailure, ServiceCommand, usageExitCode } from '../options.ts'
 import { createEnvironment, printAddresses } from '../runtime.ts'
 
@@ -25,16 +26,25 @@
   seeds = flag('seeds')
   secrets = flag('secrets')
   operatorToken = flag('operatorToken')
+  clientConnections = flag('clientConnections')
+  clientRequests = flag('clientRequests')
+  connectionRequests = flag('connectionRequests')
+  clientBytes = flag('clientBytes')
+  clientHeadBytes = flag('clientHeadBytes')
+  connectionBytes = flag('connectionBytes')
   jsonLog = flag('jsonLog')
 
   async execute (): Promise<number> {
     const options = checkSettings(
-      ['id', 'domain', 'peer', 'admin', 'data', 'members', 'join', 'autoMembers', 'bootstrap', 'claims', 'rateWindowMs', 'seeds', 'secrets', 'operatorToken', 'jsonLog'], this)
+      ['id', 'domain', 'peer', 'admin', 'data', 'members', 'join', 'autoMembers', 'bootstrap', 'claims', 'rateWindowMs', 'seeds', 'secrets', 'operatorToken', 'jsonLog', ...clientSettings], this)
     if (options === undefined) return usageExitCode
     if (await this.isStopRequested()) return 0
     const { startControl } = await import('../../core/control/index.ts')
     const { loadHash } = await import('../../core/hash/index.ts')
-    const started = await startControl(options, createEnvironment(options.jsonLog), await loadHash())
+    const { createProcessClients } = await import('../../core/http/index.ts')
+    const environment = createEnvironment(options.jsonLog)
+    const clients = createProcessClients(options, environment)
+    const started = await startControl({ ...options, clients }, environment, await loadHash())
     if (!started.ok) {
       printFailure(started)
       return usageExitCode
--- a/src/cli/node/index.ts
+++ b/src/cli/node/index.ts
@@ -1,4 +1,5 @@
 import { Command } from 'clipanion'
+import { clientSettings } from '../../core/settings/index.ts'
 import { checkSettings, flag, ServiceCommand, usageExitCode } from '../options.ts'
 import { createEnvironment, printAddresses, limitHeapSize } from '../runtime.ts'
 
@@ -24,16 +25,25 @@
   rankedWaiting = flag('rankedWaiting')
   plannedReturns = flag('plannedReturns')
   stopTimeoutMs = flag('stopTimeoutMs')
+  clientConnections = flag('clientConnections')
+  clientRequests = flag('clientRequests')
+  connectionRequests = flag('connectionRequests')
+  clientBytes = flag('clientBytes')
+  clientHeadBytes = flag('clientHeadBytes')
+  connectionBytes = flag('connectionBytes')
   jsonLog = flag('jsonLog')
 
   async execute (): Promise<number> {
-    const options = checkSettings(['id', 'domain', 'listen', 'peer', 'local', 'seeds', 'secrets', 'rateWindowMs', 'roomPlacement', 'roomShares', 'rankedWaiting', 'plannedReturns', 'stopTimeoutMs', 'jsonLog'], this)
+    const options = checkSettings(['id', 'domain', 'listen', 'peer', 'local', 'seeds', 'secrets', 'rateWindowMs', 'roomPlacement', 'roomShares', 'rankedWaiting', 'plannedReturns', 'stopTimeoutMs', 'jsonLog', ...clientSettings], this)
     if (options === undefined) return usageExitCode
     limitHeapSize()
     if (await this.isStopRequested()) return 0
     const { startNode } = await import('../../core/node/index.ts')
     const { loadHash } = await import('../../core/hash/index.ts')
-    const node = await startNode(options, createEnvironment(options.jsonLog), await loadHash())
+    const { createProcessClients } = await import('../../core/http/index.ts')
+    const environment = createEnvironment(options.jsonLog)
+    const clients = createProcessClients(options, environment)
+    const node = await startNode({ ...options, clients }, environment, await loadHash())
     printAddresses({ listen: node.listenAddress, peer: node.peerAddress, local: node.localAddress })
     return await this.runUntilStopped(node.stop)
   }
--- a/src/core/control/api.ts
+++ b/src/core/control/api.ts
@@ -1,13 +1,13 @@
-import { createServer } from 'node:http'
-import type { Server } from 'node:http'
+import { createServer as createUnboundedServer } from 'node:http'
+import type { RequestListener, Server } from 'node:http'
 import { createHmac } from 'node:crypto'
 import { H3 } from 'h3'
 import type { H3Event } from 'h3'
 import { toNodeHandler } from 'h3/node'
 import { digest, hashKey } from '../auth/index.ts'
 import { fail } from '../errors/index.ts'
-import { createAnswerRoom, holdAnswer, readDocument } from '../http/index.ts'
-import type { AnswerRoom } from '../http/index.ts'
+import { createAnswerRoom, holdAnswer, maxRequestsAhead, readDocument } from '../http/index.ts'
+import type { AnswerRoom, ServerFactory } from '../http/index.ts'
 import type { Action, AdminAnswer, AdminRequest } from './types.ts'
 
 const maxBodyBytes = 4 * 1024 * 1024
@@ -84,7 +84,7 @@
 }
 
 /** Creates the HTTP server of the administration API and of the metrics page. */
-export function createAdminServer (forward: ForwardRequest, exposeMetrics: () => string): Server {
+export function createAdminServer (forward: ForwardRequest, exposeMetrics: () => string, createServer: ServerFactory = createUnboundedServer): Server {
   const app = new H3()
   const room = createAnswerRoom()
   const sendAnswer = (event: H3Event, answer: AdminAnswer) => sendWithinRoom(room, event, answer)
@@ -138,5 +138,5 @@
   app.put('/v1/members/:name', forwardDocument('member.add', passThrough))
   app.delete('/v1/members/:name', forwardAction('member.remove'))
   app.get('/v1/audit', forwardAction('audit'))
-  return createServer({ requestTimeout: 30_000 }, toNodeHandler(app))
+  return createServer({ requestTimeout: 30_000 }, toNodeHandler(app) as RequestListener, maxRequestsAhead)
 }
--- a/src/core/control/control.ts
+++ b/src/core/control/control.ts
@@ -74,7 +74,8 @@
     domain: options.domain,
     address: options.peer,
     seeds: [...options.seeds, ...options.members.map((member) => member.address)],
-    secrets: options.secrets
+    secrets: options.secrets,
+    clients: options.clients?.peers
   }, environment)
   const sendMessage = createMessageSender(id, peers, () => membersOf(group.state), metrics.count)
   let publishBeacon = () => {}
@@ -126,7 +127,7 @@
   const leaderTasks = startLeaderTasks(id, options, peers, group, isLeader, () => registry, hash, environment)
   publishBeacon = leaderTasks.publishBeacon
   const reconcileTimer = options.autoMembers ? reconcileMembers(id, peers, group, isLeader, environment) : undefined
-  const server: Server = createAdminServer(handleOrForward, metrics.expose)
+  const server: Server = createAdminServer(handleOrForward, metrics.expose, options.clients?.callers.createServer)
   const adminAddress = await listen(server, options.admin)
   metrics.gauge('consensus_term', () => group.state.hardState.term)
   metrics.gauge('consensus_commit', () => group.state.commit)
--- a/src/core/control/types.ts
+++ b/src/core/control/types.ts
@@ -1,3 +1,4 @@
+import type { ProcessClients } from '../http/index.ts'
 import type { Member } from '../consensus/index.ts'
 import type { Scope } from '../config/index.ts'
 import type { Tolerance } from '../rate/index.ts'
@@ -33,6 +34,8 @@
   secrets: string[]
   /** Token of the first operator, who has every scope. */
   operatorToken: string
+  /** Bounds what is held for clients. Default: no bounds. */
+  clients?: ProcessClients
 }
 
 /** Actions of the administration API with the scope that each requires. */
--- a/src/core/http/index.ts
+++ b/src/core/http/index.ts
@@ -1,3 +1,6 @@
+export { createClients, createProcessClients, maxRequestsAhead } from './clients.ts'
+export type { Clients, ProcessClients, ServerFactory } from './clients.ts'
+export type { ClientBounds } from './client-bounds.ts'
 export { createAnswerRoom, holdAnswer, maxHeldBytes, takeTimeoutMs } from './answer-room.ts'
 export type { AnswerRoom } from './answer-room.ts'
 export { readDocument, readText } from './document.ts'
--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -1,4 +1,4 @@
-import { createServer } from 'node:http'
+import { createServer as createUnboundedServer } from 'node:http'
 import type { IncomingMessage, Server, ServerOptions, ServerResponse } from 'node:http'
 import { randomId } from '../auth/index.ts'
 import { createClaimClient } from '../claims/client.ts'
@@ -6,6 +6,7 @@
 import type { Hash } from '../claims/index.ts'
 import { serveClaims } from '../claims/service.ts'
 import { closeServer, listen } from '../http/index.ts'
+import type { ProcessClients, ServerFactory } from '../http/index.ts'
 import { createRequestLog } from '../log/index.ts'
 import { createPeers } from '../peers/index.ts'
 import type { Environment } from '../peers/index.ts'
@@ -85,6 +86,8 @@
   plannedReturns?: boolean
   /** Time after which an idle connection of a caller is closed, in ms. Default: 5000. */
   keepAliveMs?: number
+  /** Bounds what is held for clients. Default: no bounds. */
+  clients?: ProcessClients
 }
 
 /** A running node. */
@@ -107,7 +110,7 @@
   const { clock, log, metrics, random } = environment
   const { id, domain, peer: address, seeds, secrets, dialect = defaultDialect, strictKeys = true, drainMs = Infinity, adaptiveLimit = true } = options
   const keepAliveMs = options.keepAliveMs ?? callerKeepAliveMs
-  const peers = await createPeers({ id, boot: randomId(), role: 'node', domain, address, seeds, secrets }, environment)
+  const peers = await createPeers({ id, boot: randomId(), role: 'node', domain, address, seeds, secrets, clients: options.clients?.peers }, environment)
   const target = createOwnTarget(peers, environment, { drainMs, adaptiveLimit })
   const spans = createSpans()
   const dependencies = createDependencies(clock)
@@ -193,8 +196,9 @@
     decisions.leaveUnserved(request)
   }
   const limits = { maxHeaderSize: maxHeaderBytes, requestTimeout: 30_000, headersTimeout: 10_000 }
-  const callerServer = createPipelinedServer({ ...limits, keepAliveTimeout: keepAliveMs }, { serve: serveEntry, now: clock.now, isStopping: () => stop !== undefined, leaveUnserved }, backlog)
-  const localServer = createPipelinedServer({ ...limits, keepAliveTimeout: 60_000 }, { serve: serveLocal, now: clock.now, isStopping: () => stop !== undefined, leaveUnserved }, backlog)
+  const createServer = options.clients?.callers.createServer ?? createUnboundedServer
+  const callerServer = createPipelinedServer(createServer, { ...limits, keepAliveTimeout: keepAliveMs }, { serve: serveEntry, now: clock.now, isStopping: () => stop !== undefined, leaveUnserved }, backlog)
+  const localServer = createPipelinedServer(createServer, { ...limits, keepAliveTimeout: 60_000 }, { serve: serveLocal, now: clock.now, isStopping: () => stop !== undefined, leaveUnserved }, backlog)
   const listenAddress = await listen(callerServer, options.listen)
   const localAddress = await listen(localServer, options.local)
   metrics.gauge('stopping', () => stop === undefined ? 0 : 1)
@@ -266,7 +270,7 @@
   }
 }
 
-function createPipelinedServer (options: ServerOptions, pipelineOptions: PipelineOptions, backlog: Backlog): Server {
+function createPipelinedServer (createServer: ServerFactory, options: ServerOptions, pipelineOptions: PipelineOptions, backlog: Backlog): Server {
   const pipeline = createPipeline(pipelineOptions)
   return createServer(options, pipeline.accept).on('clientError', pipeline.reject).on('connection', backlog.recordConnection)
 }
--- a/src/core/node/pipeline.ts
+++ b/src/core/node/pipeline.ts
@@ -4,9 +4,6 @@
 /** Requests of one connection that are in progress at once. Further ones wait. */
 export const maxInProgress = 8
 
-/** Waiting requests of one connection from which it is not read. Below, it is, because only a reader notices that the client has left. */
-export const maxWaiting = 32
-
 /** Status lines for requests that cannot be read, by the error code of Node's HTTP parser. None of them has run. */
 const unreadableStatuses: Record<string, string> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
@@ -107,7 +104,6 @@
       if (next === undefined) break
       start(line, socket, next)
     }
-    if (line.waiting.length < maxWaiting && socket.isPaused()) socket.resume()
   }
   /**
    * Ends the request that the parser cannot read to its end. It has not been run, and the answer to the rest of the connection is also its own.
@@ -129,7 +125,6 @@
       const arrived = { request, response, readAt: now() }
       if (line.waiting.length === 0 && line.inProgress.size < maxInProgress) return start(line, socket, arrived)
       line.waiting.push(arrived)
-      if (line.waiting.length >= maxWaiting) socket.pause()
     },
     reject (error, socket) {
       const code = error.code ?? ''
--- a/src/core/peers/peers.ts
+++ b/src/core/peers/peers.ts
@@ -1,4 +1,4 @@
-import { createServer } from 'node:http'
+import { createServer as createUnboundedServer } from 'node:http'
 import * as v from 'valibot'
 import type { IncomingMessage, Server } from 'node:http'
 import type { Socket } from 'node:net'
@@ -20,7 +20,8 @@
 import type { Configuration, Delta } from '../config/index.ts'
 import { createDatagrams, createRpcClient, createRpcServer, rpcPath } from '../rpc/index.ts'
 import type { Datagrams, RpcClient, RpcServer } from '../rpc/index.ts'
-import { closeServer, listen } from '../http/index.ts'
+import { closeServer, listen, maxRequestsAhead } from '../http/index.ts'
+import type { Clients } from '../http/index.ts'
 import { createDistribution } from './distribution.ts'
 import type { BeaconMessage, Distribution } from './distribution.ts'
 import { mergeRequestSchema, syncReplySchema, syncRequestSchema } from './messages.ts'
@@ -42,6 +43,8 @@
   address: string
   seeds: readonly string[]
   secrets: readonly string[]
+  /** Bounds what is held for those who connect. Default: no bounds. */
+  clients?: Clients
 }
 
 /** Clock, randomness, log and metrics of a process, shared by all its parts. */
@@ -121,10 +124,11 @@
   const traffic = createTraffic(options.domain, metrics)
   const rpc = createRpcClient(sealer, clock, traffic.record)
   const rpcServer = createRpcServer(sealer, clock, traffic.record)
+  const createServer = options.clients?.createServer ?? createUnboundedServer
   const server: Server = createServer({ keepAliveTimeout: 0, requestTimeout: 0 }, (request, response) => {
     if (request.url === rpcPath) rpcServer.handle(request, response)
     else response.writeHead(404).end()
-  })
+  }, maxRequestsAhead)
   const address = await listen(server, options.address)
   const recordRefusal = createRefusalRecorder(environment)
   const datagrams = await createDatagrams(address, sealer, clock, traffic.record, recordRefusal)
@@ -244,7 +248,10 @@
     spreadRevision: distribution.spreadRevision,
     onMemberChange: (listener) => void memberListeners.push(listener),
     onConfigurationChange: distribution.onChange,
-    onUpgrade: (handler) => void server.on('upgrade', handler),
+    onUpgrade: (handler) => void server.on('upgrade', (request: IncomingMessage, socket: Socket, head: Buffer) => {
+      options.clients?.release(socket)
+      handler(request, socket, head)
+    }),
     controlAddresses () {
       const leader = freshness.newest?.address
       const addresses = members().filter((member) => member.role === 'control').map((member) => member.address)
--- a/src/core/settings/index.ts
+++ b/src/core/settings/index.ts
@@ -13,6 +13,9 @@
 /** Unparsed settings by name, as given by flags or environment variables. */
 export type SettingTexts<Name extends SettingName> = { [Key in Name]?: string }
 
+/** Settings of the bounds for what a process holds for its clients. */
+export const clientSettings = ['clientConnections', 'clientRequests', 'connectionRequests', 'clientBytes', 'clientHeadBytes', 'connectionBytes'] as const satisfies readonly SettingName[]
+
 const secretSettings: readonly SettingName[] = ['secrets', 'operatorToken', 'token']
 
 /** Parses settings. Returns a failure for the first invalid one, with its flag, its value (hidden for secrets) and the allowed values. */
--- a/src/core/settings/schema.ts
+++ b/src/core/settings/schema.ts
@@ -56,6 +56,17 @@
   v.transform(Number)
 )
 
+/** Creates the schema of a whole number within a range. */
+function wholeNumberSchema (min: number, max: number) {
+  return v.pipe(
+    v.string(),
+    v.regex(/^\d{1,10}$/, `a whole number, ${min} to ${max}`),
+    v.transform(Number),
+    v.minValue(min, `a whole number, ${min} to ${max}`),
+    v.maxValue(max, `a whole number, ${min} to ${max}`)
+  )
+}
+
 const booleanSchema = v.pipe(v.picklist(['true', 'false'], 'true or false'), v.transform((text) => text === 'true'))
 
 /** All settings of long-running processes and of operators' commands. */
@@ -98,6 +109,18 @@
   rankedWaiting: defineSetting({ flag: '--ranked-waiting', variable: 'DOGWOODSPRING_RANKED_WAITING', description: 'Let calls of requests in progress wait by the priority of the request that they belong to, beside requests that need their target only', unit: 'true or false', fallback: 'true', example: 'false', schema: booleanSchema }),
   /** Whether Retry-After follows the expected room. Default: true. */
   plannedReturns: defineSetting({ flag: '--planned-returns', variable: 'DOGWOODSPRING_PLANNED_RETURNS', description: 'Ask refused callers to return when room is expected, within the time that they have left', unit: 'true or false', fallback: 'true', example: 'false', schema: booleanSchema }),
+  /** Connections of clients that a process holds, over all listeners. Default: 2500. */
+  clientConnections: defineSetting({ flag: '--client-connections', variable: 'DOGWOODSPRING_CLIENT_CONNECTIONS', description: 'Connections of clients that this process holds; beyond, the one for which most is held or that is idle longest is closed', unit: 'connections', fallback: '2500', example: '1000', schema: wholeNumberSchema(16, 100_000) }),
+  /** Requests of clients that a process has read and not answered. Default: 2000. */
+  clientRequests: defineSetting({ flag: '--client-requests', variable: 'DOGWOODSPRING_CLIENT_REQUESTS', description: 'Requests that this process has read and not answered; beyond, each connection is read one request at a time', unit: 'requests', fallback: '2000', example: '1000', schema: wholeNumberSchema(16, 1_000_000) }),
+  /** Requests of one connection that a process has read and not answered. Default: 40. */
+  connectionRequests: defineSetting({ flag: '--connection-requests', variable: 'DOGWOODSPRING_CONNECTION_REQUESTS', description: 'Requests of one connection that this process has read and not answered; beyond, it is not read', unit: 'requests', fallback: '40', example: '16', schema: wholeNumberSchema(1, 10_000) }),
+  /** Bytes that a process holds of answers that were not taken and of requests that are not parsed. Default: 50331648. */
+  clientBytes: defineSetting({ flag: '--client-bytes', variable: 'DOGWOODSPRING_CLIENT_BYTES', description: 'Bytes that this process holds for clients: answers not taken and requests not parsed; beyond, the connection for which most is held is closed', unit: 'bytes', fallback: '50331648', example: '33554432', schema: wholeNumberSchema(1024 * 1024, 1024 * 1024 * 1024) }),
+  /** Bytes of unfinished heads that a process holds. Default: 2097152. */
+  clientHeadBytes: defineSetting({ flag: '--client-head-bytes', variable: 'DOGWOODSPRING_CLIENT_HEAD_BYTES', description: 'Bytes of request heads that are not whole that this process holds for clients; beyond, the connection with the longest one is closed', unit: 'bytes', fallback: '2097152', example: '1048576', schema: wholeNumberSchema(64 * 1024, 256 * 1024 * 1024) }),
+  /** Bytes of answers that were not taken from which a connection is not read. Default: 16384. */
+  connectionBytes: defineSetting({ flag: '--connection-bytes', variable: 'DOGWOODSPRING_CONNECTION_BYTES', description: 'Bytes of answers not taken from which on a connection is not read and its answers wait', unit: 'bytes', fallback: '16384', example: '65536', schema: wholeNumberSchema(4096, 16 * 1024 * 1024) }),
   /** Token of the first operator. */
   operatorToken: defineSetting({ flag: '--operator-token', variable: 'DOGWOODSPRING_OPERATOR_TOKEN', description: 'Token of the first operator, created when the group has none', unit: 'text', fallback: '', example: 'a-long-random-text', schema: v.string() }),
   /** Longest time that a stop waits for running calls. Default: 30000 ms. */
--- a/test/node/pipeline.test.ts
+++ b/test/node/pipeline.test.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict'
-import { createServer } from 'node:http'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { connect } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
 import { test } from 'node:test'
 import { createPipeline, maxInProgress } from '../../src/core/node/pipeline.ts'
+import { createTestClients } from '../http/clients.ts'
 
 type Serve = (request: IncomingMessage, response: ServerResponse, readAt?: number) => void
 
@@ -39,7 +39,7 @@
       serve(request, response, readAt)
     }
   })
-  const server = createServer(pipeline.accept).on('clientError', pipeline.reject)
+  const server = createTestClients().createServer({}, pipeline.accept).on('clientError', pipeline.reject)
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
   const socket = connect((server.address() as AddressInfo).port, '127.0.0.1')
   socket.on('data', (chunk) => {
