An early answer without a length is no whole answer; a status beyond 599 is none

Cause: an answer without a length that its server ended in order while an upload was still being written was passed on as whole; nothing tells it from a part. Statuses from 600 to 999 were passed on as answers. Change: a connection whose other side ends it before the request is written is broken instead of ended, once what was received is handed out, so that answers with a length stay whole.

--- a/src/core/http/connect.ts
+++ b/src/core/http/connect.ts
@@ -16,16 +16,37 @@
   if (error.code === 'ECONNRESET') error.code = resetCode
 }
 
+/**
+ * Breaks a connection in place of its `end` event when the other side ended it before the request was written. A response without a length that ends so may be a
+ * part: nothing tells it from one that its sender gave up. What was received is handed out first, which completes a response with a length.
+ * Returns whether the end has come so early.
+ */
+function breakEarlyEnd (socket: Socket): () => boolean {
+  const emit = socket.emit.bind(socket) as (event: string, ...values: unknown[]) => boolean
+  const push = socket.push.bind(socket)
+  let isEarly = false
+  socket.push = (chunk: unknown, encoding?: BufferEncoding): boolean => {
+    isEarly ||= chunk === null && socket.writableLength > 0
+    return push(chunk, encoding)
+  }
+  socket.emit = (event: string, ...values: unknown[]): boolean => {
+    if (event !== 'end' || !isEarly) return emit(event, ...values)
+    socket.destroy(new Error('the other side ended the connection before it had the whole request'))
+    return true
+  }
+  return () => isEarly
+}
+
 /**
  * Delays the `end` event of a connection until a write has succeeded. When the last bytes and a reset arrive
  * together, libuv reports a plain end after the bytes. A write fails on such a connection and succeeds on
  * one that the peer closed normally.
  */
-function confirmEnd (socket: Socket): void {
+function confirmEnd (socket: Socket, hasEndedEarly: () => boolean): void {
   const emit = socket.emit.bind(socket) as (event: string, ...values: unknown[]) => boolean
   let isConfirming = false
   socket.emit = (event: string, ...values: unknown[]): boolean => {
-    if (event !== 'end' || isConfirming || !socket.writable) return emit(event, ...values)
+    if (event !== 'end' || isConfirming || !socket.writable || hasEndedEarly()) return emit(event, ...values)
     isConfirming = true
     return socket.write(emptyLine, (error) => {
       if (error === null || error === undefined) emit('end')
@@ -93,7 +114,8 @@
 /**
  * Creates a connector whose connections report a reset as a failure in every state. undici treats ECONNRESET
  * as the end of a response without a length, which would make a truncated response look complete. The
- * listener that renames the code is prepended, because undici's own listener compares the code. Status lines are bounded.
+ * listener that renames the code is prepended, because undici's own listener compares the code. Status lines are bounded. An end before the request is
+ * written is a failure too.
  * A connection stays half open until its end has been reported; Node would destroy it while the report is held back.
  */
 export function createConnector (timeoutMs: number): buildConnector.connector {
@@ -102,8 +124,9 @@
     const [error, socket] = result
     if (error === null) {
       socket.prependListener('error', renameReset)
+      const hasEndedEarly = breakEarlyEnd(socket)
       holdEndWhilePaused(socket)
-      confirmEnd(socket)
+      confirmEnd(socket, hasEndedEarly)
       boundStatusLine(socket)
     }
     callback(...result)
--- a/src/core/node/exchange.ts
+++ b/src/core/node/exchange.ts
@@ -34,6 +34,11 @@
   cancellation?: Cancellation
 }
 
+/** Status codes of informational responses, which precede an answer, and of answers. */
+const firstInformationalStatus = 100
+const firstFinalStatus = 200
+const lastStatus = 599
+
 function errorCode (error: Error): string {
   return (error as NodeJS.ErrnoException).code ?? error.name
 }
@@ -47,7 +52,6 @@
   let written = false
   let answered = false
   let settled = false
-  let rejected: Error | undefined
   const settle = () => {
     if (settled) return false
     settled = true
@@ -62,6 +66,7 @@
     reportError(cause, reason)
     controller?.abort(new Error(reason))
   }
+  const reject = (reason: string) => abort('broken', reason)
   const timeout = setTimeout(() => abort('timeout', 'no whole answer in time'), exchange.timeoutMs)
   const stopListening = exchange.cancellation?.listen(() => abort('cancelled', 'the caller is gone'))
   if (settled) return
@@ -80,12 +85,13 @@
       written = true
     },
     onResponseStart (_controller, status, headers) {
-      if (settled || status < 200) return
+      if (settled) return
+      if (status < firstInformationalStatus || status > lastStatus) return reject(`the status ${status} is none of an answer`)
+      if (status < firstFinalStatus) return
       answered = true
       if (receiver.head(status, headers as IncomingHttpHeaders)) return
-      rejected = new Error('the answer belongs to another request')
       answered = false
-      abort('broken', rejected.message)
+      reject('the answer belongs to another request')
     },
     onResponseData (responseController, chunk) {
       if (settled || chunk.length === 0) return // A parser that goes on after a pause reports a piece of no bytes first.
--- a/test/node/raw-path.ts
+++ b/test/node/raw-path.ts
@@ -35,6 +35,8 @@
 
 const timeoutMs = 3000
 
+const maxBodyBytes = 32 * 1024 * 1024
+
 /** How a side closes a connection after its bytes. */
 export type Ending = 'open' | 'end' | 'reset'
 
@@ -44,6 +46,10 @@
   ending: Ending
   /** Sends each byte as a write of its own. */
   isSplit?: boolean
+  /** Time between the bytes and what follows, in milliseconds. Default: 0. */
+  endAfterMs?: number
+  /** Reads nothing of a request beyond its first piece. Default: false. */
+  stopsReading?: boolean
 }
 
 /** What a caller has read from its connection until it was closed. */
@@ -65,6 +71,8 @@
   outcomes: AttemptOutcome[]
   /** Requests that the target has read. */
   received: string[]
+  /** Bytes that the target has read. */
+  receivedBytes: () => number
   /** Connections that the target has accepted. */
   connections: () => number
   /** Pauses the reading of the replies that follow for this time, in milliseconds. */
@@ -78,13 +86,15 @@
   return new Promise((resolve) => server.listen(0, '127.0.0.1', () => resolve((server.address() as AddressInfo).port)))
 }
 
-async function sendRaw (socket: Socket, { text, ending, isSplit = false }: RawAnswer): Promise<void> {
+async function sendRaw (socket: Socket, { text, ending, isSplit = false, endAfterMs = 0, stopsReading = false }: RawAnswer): Promise<void> {
+  if (stopsReading) socket.pause()
   if (isSplit) {
     for (const byte of text) {
       socket.write(byte)
       await new Promise((resolve) => setImmediate(resolve))
     }
   } else if (text !== '') socket.write(text)
+  if (endAfterMs > 0) await new Promise((resolve) => setTimeout(resolve, endAfterMs))
   if (ending === 'end') socket.end()
   else if (ending === 'reset') socket.resetAndDestroy()
 }
@@ -94,11 +104,13 @@
   const environment = { clock, random: createRandom(1), log: silentLog, metrics: createMetrics() }
   const sealer = createSealer(['secret-of-the-test-cluster'])
   let connections = 0
+  let receivedBytes = 0
   const raw = createServer((socket) => {
     connections++
     socket.setNoDelay(true)
     socket.on('error', () => {})
     socket.on('data', (chunk) => {
+      receivedBytes += chunk.length
       const request = chunk.toString('latin1')
       if (request.trim() === '') return
       path.received.push(request)
@@ -133,7 +145,7 @@
     decisions: createSilentDecisions(dialect),
     environment
   })
-  const sessions = servePeerCalls(peers, server, () => {}, createBodyBudget(1024 * 1024), environment)
+  const sessions = servePeerCalls(peers, server, () => {}, createBodyBudget(maxBodyBytes), environment)
   const peerAddress = `127.0.0.1:${await listenAnywhere(peerServer)}`
   const forwarder = createForwarder(peers, environment)
   const refusals = createRefusals({} as unknown as ClaimClient, dialect, createRandom(1), clock)
@@ -152,7 +164,7 @@
     }
   }
   const serve = async (request: IncomingMessage, response: ServerResponse) => {
-    const body = await readBody(request, { maxBytes: 1024, budget: createBodyBudget(1024), waitMs: 0, timeLeftMs: () => 60_000 })
+    const body = await readBody(request, { maxBytes: maxBodyBytes, budget: createBodyBudget(maxBodyBytes), waitMs: 0, timeLeftMs: () => 60_000 })
     if (!body.ok) return dialect.writeRefusal(response, { failure: body, run: 'not-run', retryAfterMs: 0 })
     const call = createCall(request, body.value.bytes)
     const sink = createResponseSink(response)
@@ -170,6 +182,7 @@
     received: [],
     readAfterMs: 0,
     connections: () => connections,
+    receivedBytes: () => receivedBytes,
     exchange: (bytes, ending = 'open') => new Promise((resolve) => {
       let text = ''
       let isReset = false
