--- a/src/core/http/clients.ts
+++ b/src/core/http/clients.ts
@@ -28,6 +28,8 @@
 export interface Clients {
   /** Creates an HTTP server whose connections are within the bounds. */
   createServer: ServerFactory
+  /** Returns true while bytes of a connection were received that are not parsed. */
+  hasUnparsed: (socket: Duplex) => boolean
   /** Hands over a connection that has left HTTP by an upgrade. Nothing is held for it any more. */
   release: (socket: Duplex) => void
 }
@@ -306,6 +308,7 @@
       return createNodeServer({ ...options, highWaterMark: bounds.connectionBytes, ServerResponse: CountedResponse }, listener)
         .on('connection', (socket: Socket) => admit(socket, maxRequests))
     },
+    hasUnparsed: (socket) => (connections.get(socket)?.unparsedBytes ?? 0) > 0,
     release (socket) {
       connections.get(socket)?.leave()
       forget(socket)
--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -196,9 +196,9 @@
     decisions.leaveUnserved(request)
   }
   const limits = { maxHeaderSize: maxHeaderBytes, requestTimeout: 30_000, headersTimeout: 10_000 }
-  const createServer = options.clients?.callers.createServer ?? createUnboundedServer
-  const callerServer = createPipelinedServer(createServer, { ...limits, keepAliveTimeout: keepAliveMs }, { serve: serveEntry, now: clock.now, isStopping: () => stop !== undefined, leaveUnserved }, backlog)
-  const localServer = createPipelinedServer(createServer, { ...limits, keepAliveTimeout: 60_000 }, { serve: serveLocal, now: clock.now, isStopping: () => stop !== undefined, leaveUnserved }, backlog)
+  const { createServer = createUnboundedServer, hasUnparsed } = options.clients?.callers ?? {}
+  const callerServer = createPipelinedServer(createServer, { ...limits, keepAliveTimeout: keepAliveMs }, { serve: serveEntry, now: clock.now, isStopping: () => stop !== undefined, hasUnparsed, leaveUnserved }, backlog)
+  const localServer = createPipelinedServer(createServer, { ...limits, keepAliveTimeout: 60_000 }, { serve: serveLocal, now: clock.now, isStopping: () => stop !== undefined, hasUnparsed, leaveUnserved }, backlog)
   const listenAddress = await listen(callerServer, options.listen)
   const localAddress = await listen(localServer, options.local)
   metrics.gauge('stopping', () => stop === undefined ? 0 : 1)
--- a/src/core/node/pipeline.ts
+++ b/src/core/node/pipeline.ts
@@ -47,6 +47,8 @@
   now: () => number
   /** Returns true when each connection is to be closed with its last answer. */
   isStopping: () => boolean
+  /** Returns true while bytes of a connection were received that its requests do not include yet. Default: never. */
+  hasUnparsed?: (socket: Duplex) => boolean
   /** Records a request that was read but is not served, because an answer before its own closes the connection. */
   leaveUnserved: (request: IncomingMessage) => void
 }
@@ -56,7 +58,7 @@
  * A stop closes each connection with the answer to the last request that was read from it. What follows a closing answer is not served, so its client
  * may send it again.
  */
-export function createPipeline ({ serve, now, isStopping, leaveUnserved }: PipelineOptions): Pipeline {
+export function createPipeline ({ serve, now, isStopping, hasUnparsed = () => false, leaveUnserved }: PipelineOptions): Pipeline {
   const lines = new WeakMap<Duplex, Line>()
 
   const lineOf = (socket: Duplex): Line => {
@@ -77,7 +79,7 @@
     if (!response.shouldKeepAlive) {
       line.closed = true
       line.waiting = []
-    } else if (isStopping() && line.waiting.length === 0) {
+    } else if (isStopping() && line.waiting.length === 0 && !hasUnparsed(socket)) {
       response.setHeader('connection', 'close')
       line.closing = response
     }
--- a/test/node/pipeline.test.ts
+++ b/test/node/pipeline.test.ts
@@ -27,7 +27,9 @@
   let received = ''
   const served: string[] = []
   const cancelled: string[] = []
+  const clients = createTestClients()
   const pipeline = createPipeline({
+    hasUnparsed: clients.hasUnparsed,
     now: () => performance.now(),
     isStopping: () => stopping,
     leaveUnserved: () => {},
@@ -39,7 +41,7 @@
       serve(request, response, readAt)
     }
   })
-  const server = createTestClients().createServer({}, pipeline.accept).on('clientError', pipeline.reject)
+  const server = clients.createServer({}, pipeline.accept).on('clientError', pipeline.reject)
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
   const socket = connect((server.address() as AddressInfo).port, '127.0.0.1')
   socket.on('data', (chunk) => {
@@ -142,6 +144,17 @@
   assert.equal(received().match(/connection: close/gi)?.length, 1)
 }))
 
+test('a stop answers every request that was received with it, however many', () => withServer((request, response) => {
+  setImmediate(() => answer(request, response))
+}, async ({ socket, received, stop, ended }) => {
+  stop()
+  const paths = Array.from({ length: 300 }, (_, index) => `/${index}`)
+  socket.write(paths.map(get).join(''))
+  await within(ended, 3000)
+  assert.deepEqual(bodies(received()), paths)
+  assert.equal(received().match(/connection: close/gi)?.length, 1)
+}))
+
 test('nothing behind a request that closes the connection is served', () => withServer(answer, async ({ socket, served, received, ended }) => {
   socket.write('GET /0 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n' + get('/1'))
   await ended
