--- a/src/core/node/pipeline.ts
+++ b/src/core/node/pipeline.ts
@@ -4,9 +4,6 @@
 /** Requests of one connection that are in progress at once. Further ones wait. */
 export const maxInProgress = 8
 
-/** Waiting requests of one connection from which it is not read. Below, it is, because only a reader notices that the client has left. */
-export const maxWaiting = 32
-
 /** Status lines for requests that cannot be read, by the error code of Node's HTTP parser. None of them has run. */
 const unreadableStatuses: Record<string, string> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
@@ -50,6 +47,8 @@
   now: () => number
   /** Returns true when each connection is to be closed with its last answer. */
   isStopping: () => boolean
+  /** Returns true while bytes of a connection were received that its requests do not include yet. Default: never. */
+  hasUnparsed?: (socket: Duplex) => boolean
   /** Records a request that was read but is not served, because an answer before its own closes the connection. */
   leaveUnserved: (request: IncomingMessage) => void
 }
@@ -59,7 +58,7 @@
  * A stop closes each connection with the answer to the last request that was read from it. What follows a closing answer is not served, so its client
  * may send it again.
  */
-export function createPipeline ({ serve, now, isStopping, leaveUnserved }: PipelineOptions): Pipeline {
+export function createPipeline ({ serve, now, isStopping, hasUnparsed = () => false, leaveUnserved }: PipelineOptions): Pipeline {
   const lines = new WeakMap<Duplex, Line>()
 
   const lineOf = (socket: Duplex): Line => {
@@ -80,7 +79,7 @@
     if (!response.shouldKeepAlive) {
       line.closed = true
       line.waiting = []
-    } else if (isStopping() && line.waiting.length === 0) {
+    } else if (isStopping() && line.waiting.length === 0 && !hasUnparsed(socket)) {
       response.setHeader('connection', 'close')
       line.closing = response
     }
@@ -107,7 +106,6 @@
       if (next === undefined) break
       start(line, socket, next)
     }
-    if (line.waiting.length < maxWaiting && socket.isPaused()) socket.resume()
   }
   /**
    * Ends the request that the parser cannot read to its end. It has not been run, and the answer to the rest of the connection is also its own.
@@ -129,7 +127,6 @@
       const arrived = { request, response, readAt: now() }
       if (line.waiting.length === 0 && line.inProgress.size < maxInProgress) return start(line, socket, arrived)
       line.waiting.push(arrived)
-      if (line.waiting.length >= maxWaiting) socket.pause()
     },
     reject (error, socket) {
       const code = error.code ?? ''
