Callees of a route are estimated from the same time as their calls, and by run

Cause: the estimate set the running times of 15 s against the calls of the last one or two seconds, and stopped after 20 iterations from an even start. Change: calls and runs are counted over the same samples, in runs in place of running time, which changes when calls are slow; an estimate begins with the one before; 1,000 samples.

--- a/src/core/node/dependencies.ts
+++ b/src/core/node/dependencies.ts
@@ -5,13 +5,19 @@
 const decayMs = 15_000
 
 /** Calls per callee that are kept as samples; up to twice as many before the older ones are dropped. */
-const maxSamples = 400
+const maxSamples = 1000
 
 /** Time for which an estimate is used, in milliseconds. */
 const estimateLifeMs = 2000
 
 /** Iterations of an estimate. */
-const iterations = 20
+const iterations = 50
+
+/** Smallest value with which an estimate begins, as a fraction of the highest. An estimate that begins with 0 stays at 0. */
+const minFirstEstimate = 0.02
+
+/** Time constant of the duration of runs, in milliseconds. */
+const recentMs = 1000
 
 /** Calls per run, as a fraction of the mean over all routes, from which a callee counts as needed. */
 const neededFraction = 0.35
@@ -30,15 +36,19 @@
   runningByRank: Map<number, number>
   /** Decayed count of runs. */
   runs: number
-  /** Decayed sum of the running time of the route, in ms. */
-  runTimeMs: number
+  /** Running time, and ended runs, of a short time. Their ratio is the duration of a run lately. */
+  recentRunTimeMs: number
+  recentEnds: number
+  /** Runs that passed since the first one, reckoned as running requests over the duration of a run. */
+  passed: number
   updatedAt: number
 }
 
-/** A call, with the number of requests of each route that were running when it was made. */
+/** A call, with the runs per ms of each route when it was made, and the runs that had passed until then. */
 interface Sample {
   at: number
-  running: number[]
+  runRates: number[]
+  passed: number[]
 }
 
 /** Calls to one callee. */
@@ -51,8 +61,8 @@
 
 /**
  * Callees of each route of the node's own target. Targets do not state for which request they make a call, so each call may
- * belong to any route that is running at that time. The number of running requests of each route at each call separates
- * them: the call rate of each route is estimated by expectation maximization for a sum of Poisson processes.
+ * belong to any route that is running at that time. The rate of runs of each route at each call separates them: the calls
+ * per run of each route are estimated by expectation maximization for a sum of Poisson processes.
  */
 export interface Dependencies {
   /** Records that the node's own target started a request of a route and rank. */
@@ -74,22 +84,32 @@
   return Math.exp(-ageMs / decayMs)
 }
 
-/** Returns the estimated calls of each route per millisecond of its running time. */
-function estimateRates (calls: Calls, routes: readonly RouteActivity[], now: number): number[] {
-  const weights = calls.samples.map(({ at }) => decayFactor(now - at))
-  const scale = calls.count / Math.max(1e-9, weights.reduce((sum, weight) => sum + weight, 0))
-  let rates = routes.map(() => 1)
+/** Returns the runs of a route per ms: running requests over the duration of a run (Little's law). */
+function runRateOf ({ running, recentRunTimeMs, recentEnds }: RouteActivity): number {
+  return running * Math.max(1, recentEnds) / Math.max(1, recentRunTimeMs)
+}
+
+/**
+ * Returns the estimated calls of each route per run. The rate of runs stands for the running requests, as these change with the time for which runs
+ * wait for their calls. The estimate begins with the one before, because the samples of a short time don't tell routes apart that mostly
+ * run at the same time.
+ */
+function estimateCallsPerRun (samples: readonly Sample[], routes: readonly RouteActivity[], before: readonly number[]): number[] {
+  const [first] = samples
+  const runs = routes.map(({ passed }, index) => Math.max(1, passed - (first?.passed[index] ?? 0)))
+  const lowest = Math.max(...before, 0) * minFirstEstimate || 1
+  let callsPerRun = routes.map((_, index) => Math.max(lowest, before[index] ?? 0))
   for (let iteration = 0; iteration < iterations; iteration++) {
     const attributed = routes.map(() => 0)
-    for (const [sampleIndex, { running }] of calls.samples.entries()) {
+    for (const { runRates } of samples) {
       let sum = 0
-      for (let index = 0; index < running.length; index++) sum += rates[index] * running[index]
+      for (let index = 0; index < runRates.length; index++) sum += callsPerRun[index] * runRates[index]
       if (sum === 0) continue
-      for (let index = 0; index < running.length; index++) attributed[index] += weights[sampleIndex] * rates[index] * running[index] / sum
+      for (let index = 0; index < runRates.length; index++) attributed[index] += callsPerRun[index] * runRates[index] / sum
     }
-    rates = attributed.map((count, index) => scale * count / Math.max(1, routes[index].runTimeMs))
+    callsPerRun = attributed.map((count, index) => count / runs[index])
   }
-  return rates
+  return callsPerRun
 }
 
 /** Returns a rank drawn in proportion to the running requests of each route and rank, times the weight of the route; undefined when all are 0. */
@@ -118,35 +138,42 @@
   const indexes = new Map<string, number>()
   const callees = new Map<string, Calls>()
   let neededByRoute = new Map<string, string[]>()
-  /** Estimated calls per millisecond by callee, in the order of the routes. */
-  const ratesByCallee = new Map<string, number[]>()
+  /** Estimated calls per run by callee, in the order of the routes. */
+  const callsPerRunByCallee = new Map<string, number[]>()
   let estimatedAt = -Infinity
 
   const reset = () => {
     routes.length = 0
     indexes.clear()
     callees.clear()
-    ratesByCallee.clear()
+    callsPerRunByCallee.clear()
   }
   const activityOf = (route: string): RouteActivity => {
     const index = indexes.get(route)
     if (index !== undefined) return routes[index]
     if (routes.length >= maxRoutes) reset()
-    const created: RouteActivity = { route, running: 0, runningByRank: new Map(), runs: 0, runTimeMs: 0, updatedAt: clock.now() }
+    const created: RouteActivity = { route, running: 0, runningByRank: new Map(), runs: 0, recentRunTimeMs: 0, recentEnds: 0, passed: 0, updatedAt: clock.now() }
     indexes.set(route, routes.push(created) - 1)
     return created
   }
   const updateActivity = (activity: RouteActivity) => {
     const elapsedMs = clock.now() - activity.updatedAt
-    const decay = decayFactor(elapsedMs)
-    activity.runTimeMs = activity.runTimeMs * decay + activity.running * decayMs * (1 - decay)
-    activity.runs *= decay
+    const recentDecay = Math.exp(-elapsedMs / recentMs)
+    activity.passed += runRateOf(activity) * elapsedMs
+    activity.recentRunTimeMs = activity.recentRunTimeMs * recentDecay + activity.running * recentMs * (1 - recentDecay)
+    activity.recentEnds *= recentDecay
+    activity.runs *= decayFactor(elapsedMs)
     activity.updatedAt = clock.now()
   }
   const updateCalls = (calls: Calls) => {
     calls.count *= decayFactor(clock.now() - calls.updatedAt)
     calls.updatedAt = clock.now()
   }
+  const dropOld = (calls: Calls) => {
+    const oldestAt = clock.now() - decayMs
+    const kept = calls.samples.findIndex(({ at }) => at >= oldestAt)
+    calls.samples.splice(0, kept < 0 ? calls.samples.length : kept)
+  }
   const updateEstimate = () => {
     estimatedAt = clock.now()
     neededByRoute = new Map(routes.map(({ route }) => [route, []]))
@@ -155,12 +182,10 @@
     for (const [callee, calls] of callees) {
       updateCalls(calls)
       const threshold = Math.max(neededCalls, neededFraction * calls.count / Math.max(1, runs))
-      const rates = estimateRates(calls, routes, estimatedAt)
-      ratesByCallee.set(callee, rates)
-      for (const [index, rate] of rates.entries()) {
-        const { route, runTimeMs, runs: ownRuns } = routes[index]
-        if (rate * runTimeMs / Math.max(1, ownRuns) >= threshold) neededByRoute.get(route)?.push(callee)
-      }
+      dropOld(calls)
+      const callsPerRun = estimateCallsPerRun(calls.samples, routes, callsPerRunByCallee.get(callee) ?? [])
+      callsPerRunByCallee.set(callee, callsPerRun)
+      for (const [index, estimate] of callsPerRun.entries()) if (estimate >= threshold) neededByRoute.get(routes[index].route)?.push(callee)
     }
   }
   return {
@@ -175,6 +200,7 @@
       const activity = activityOf(route)
       updateActivity(activity)
       activity.running = Math.max(0, activity.running - 1)
+      activity.recentEnds++
       const left = (activity.runningByRank.get(rank) ?? 0) - 1
       if (left > 0) activity.runningByRank.set(rank, left)
       else activity.runningByRank.delete(rank)
@@ -184,7 +210,8 @@
       callees.set(callee, calls)
       updateCalls(calls)
       calls.count++
-      calls.samples.push({ at: clock.now(), running: routes.map(({ running }) => running) })
+      routes.forEach(updateActivity)
+      calls.samples.push({ at: clock.now(), runRates: routes.map(runRateOf), passed: routes.map(({ passed }) => passed) })
       if (calls.samples.length > 2 * maxSamples) calls.samples.splice(0, maxSamples)
     },
     neededCallees (route) {
@@ -193,8 +220,8 @@
     },
     drawRank (callee, random) {
       if (clock.now() - estimatedAt >= estimateLifeMs) updateEstimate()
-      const rates = ratesByCallee.get(callee)
-      const drawn = rates && drawRunningRank(routes, (index) => rates[index] ?? 0, random)
+      const callsPerRun = callsPerRunByCallee.get(callee)
+      const drawn = callsPerRun && drawRunningRank(routes, (index) => (callsPerRun[index] ?? 0) * runRateOf(routes[index]) / Math.max(1, routes[index].running), random)
       return drawn ?? drawRunningRank(routes, () => 1, random)
     }
   }
--- a/test/node/dependencies.test.ts
+++ b/test/node/dependencies.test.ts
@@ -4,7 +4,7 @@
 import type { Dependencies } from '../../src/core/node/dependencies.ts'
 import { createRandom } from '../../src/core/random/index.ts'
 
-const stepMs = 5
+const stepMs = 1
 
 /** Load of one route: rank of its requests, by default 0, requests per second, duration of a request, and calls in each request. */
 interface Load {
@@ -13,6 +13,9 @@
   perSecond: number
   runMs: number
   calls: Array<{ callee: string, count: number }>
+  /** Times at which its requests begin and end to come, in ms. Default: always. */
+  fromMs?: number
+  untilMs?: number
 }
 
 function simulate (loads: readonly Load[], seconds: number): Dependencies {
@@ -31,7 +34,10 @@
   for (; now < seconds * 1000; now += stepMs) {
     for (const { run } of due.filter(({ at }) => at <= now)) run()
     due = due.filter(({ at }) => at > now)
-    for (const load of loads) if (random.next() < load.perSecond * stepMs / 1000) start(load)
+    for (const load of loads) {
+      const { perSecond, fromMs = 0, untilMs = Infinity } = load
+      if (now >= fromMs && now < untilMs && random.next() < perSecond * stepMs / 1000) start(load)
+    }
   }
   return dependencies
 }
@@ -45,6 +51,16 @@
   assert.deepEqual(dependencies.neededCallees('index'), ['intake/roster'])
 })
 
+test('a route without calls is not blamed when the runs of the one that makes them become short', () => {
+  const dependencies = simulate([
+    { route: 'posting', perSecond: 120, runMs: 140, calls: [] },
+    { route: 'check', perSecond: 150, runMs: 400, calls: [{ callee: 'last/lookup', count: 4 }], untilMs: 10_000 },
+    { route: 'check', perSecond: 150, runMs: 10, calls: [{ callee: 'last/lookup', count: 1 }], fromMs: 10_000 }
+  ], 14)
+  assert.deepEqual(dependencies.neededCallees('posting'), [])
+  assert.deepEqual(dependencies.neededCallees('check'), ['last/lookup'])
+})
+
 test('routes that call different services each have their own callees', () => {
   const dependencies = simulate([
     { route: 'a', perSecond: 20, runMs: 100, calls: [{ callee: 'x/1', count: 1 }] },
