Expected retries leave a part to first requests; names of the allocator and its credits

Retries went ahead of the credit without a bound but two requests, so that in an overload that lasts every first request would have been refused and begun only when it returns, and callers who don't return never. They now go ahead with half of what is begun. The test that asked only for the sum asks for both parts now. Renamed: allocator (was giver), credits (beginnings), request class, departure.

--- a/src/core/node/room-shares.ts
+++ b/src/core/node/room-shares.ts
@@ -1,5 +1,5 @@
-import { createBeginnings, createGiver, createStatements, mayBegin, ownShareOf, pruneBeginnings, recordArrival, recordLeaving, recordStart, recordStatement, reportedCalmMs, reportedShare, statedShareOf, updateGiver } from '../shares/index.ts'
-import type { ClassOf, ClassState, Giver, Leaving } from '../shares/index.ts'
+import { createCredits, createAllocator, createStatements, mayBegin, ownShareOf, pruneCredits, recordArrival, recordDeparture, recordStart, recordStatement, reportedCalmMs, reportedShare, statedShareOf, updateAllocator } from '../shares/index.ts'
+import type { RequestClass, ClassState, Allocator, Departure } from '../shares/index.ts'
 import type { Environment } from '../peers/index.ts'
 import { inProgressPriority } from './constants.ts'
 import { calleeKey } from './types.ts'
@@ -38,41 +38,41 @@
   close: () => void
 }
 
-function classOf ({ route, rank, priority, depth }: CallContext): ClassOf {
+function requestClassOf ({ route, rank, priority, depth }: CallContext): RequestClass {
   return { route, rank, isInProgress: priority <= inProgressPriority || depth > 0 }
 }
 
-function leavingOf (outcome: AttemptOutcome | undefined): Leaving {
+function departureOf (outcome: AttemptOutcome | undefined): Departure {
   return outcome?.type === 'refused' && outcome.arrived ? 'refused' : 'ended'
 }
 
 /** Exposes the shares of the classes that have been short. */
-function createExposure (giver: Giver, { metrics }: Environment) {
+function createExposure (allocator: Allocator, { metrics }: Environment) {
   const exposed = new Set<string>()
-  metrics.gauge('room_divided', () => giver.divided)
+  metrics.gauge('room_divided', () => allocator.divided)
   return () => {
-    for (const { name, rank, isInProgress, share } of giver.classes.values()) {
+    for (const { name, rank, isInProgress, share } of allocator.classes.values()) {
       if (share === 1 || exposed.has(name) || exposed.size >= maxExposedClasses) continue
       exposed.add(name)
       const labels = `{class="${isInProgress ? 'in progress' : name.slice(0, name.lastIndexOf('/'))}",rank="${rank}"}`
-      metrics.gauge(`room_share${labels}`, () => giver.classes.get(name)?.share ?? 1)
-      metrics.gauge(`room_demand${labels}`, () => giver.classes.get(name)?.demand ?? 0)
+      metrics.gauge(`room_share${labels}`, () => allocator.classes.get(name)?.share ?? 1)
+      metrics.gauge(`room_demand${labels}`, () => allocator.classes.get(name)?.demand ?? 0)
     }
   }
 }
 
 /** Writes a line when the room of the own target becomes short and when there has been room for all for a while. */
-function createStateLog (giver: Giver, { clock, log }: Environment) {
+function createStateLog (allocator: Allocator, { clock, log }: Environment) {
   let isShort = false
   let shortAt = -Infinity
   return () => {
     const now = clock.now()
-    const classes = [...giver.classes.values()]
-    if (giver.isShort) shortAt = now
+    const classes = [...allocator.classes.values()]
+    if (allocator.isShort) shortAt = now
     const becomesShort = !isShort && classes.some(({ share }) => share < reportedShare)
     if (!becomesShort && !(isShort && now - shortAt >= reportedCalmMs)) return
     isShort = becomesShort
-    const room = Math.round(giver.divided)
+    const room = Math.round(allocator.divided)
     if (!isShort) return log.info('room of the target is no longer short', { room })
     const lines = classes.map(({ name, share, demand }) => ({ class: name, share: Math.round(100 * share) / 100, demand: Math.round(demand) }))
     log.info('room of the target is short', { room, classes: lines.toSorted((a, b) => a.share - b.share).slice(0, maxLoggedClasses) })
@@ -82,25 +82,25 @@
 /** Creates the shares of a node whose own target has `room()`. */
 export function createRoomShares (room: () => number, environment: Environment): RoomShares {
   const { clock, random } = environment
-  const giver = createGiver(clock.now())
+  const allocator = createAllocator(clock.now())
   const statements = createStatements()
-  const beginnings = createBeginnings()
+  const credits = createCredits()
   const held = new Map<string, Held>()
-  const exposeShares = createExposure(giver, environment)
-  const logState = createStateLog(giver, environment)
-  const timer = setInterval(() => pruneBeginnings(beginnings, clock.now()), pruneEveryMs)
+  const exposeShares = createExposure(allocator, environment)
+  const logState = createStateLog(allocator, environment)
+  const timer = setInterval(() => pruneCredits(credits, clock.now()), pruneEveryMs)
   const update = () => {
-    const { windowAt } = giver
-    updateGiver(giver, room(), clock.now())
-    if (giver.windowAt === windowAt) return
-    if (giver.isShort) exposeShares()
+    const { windowAt } = allocator
+    updateAllocator(allocator, room(), clock.now())
+    if (allocator.windowAt === windowAt) return
+    if (allocator.isShort) exposeShares()
     logState()
   }
   const shareOf = (callee: string, rank: number) => statedShareOf(statements, callee, rank, clock.now())
   return {
     enter (context) {
       update()
-      held.set(context.attempt, { state: recordArrival(giver, classOf(context), context.heardShare ?? 1, clock.now()), startedAt: undefined })
+      held.set(context.attempt, { state: recordArrival(allocator, requestClassOf(context), context.heardShare ?? 1, clock.now()), startedAt: undefined })
     },
     start (context) {
       const found = held.get(context.attempt)
@@ -113,12 +113,12 @@
       if (found === undefined) return
       held.delete(context.attempt)
       const now = clock.now()
-      if (found.startedAt === undefined) recordLeaving(giver, found.state, 'not-started', 0, now)
-      else recordLeaving(giver, found.state, leavingOf(outcome), now - found.startedAt, now)
+      if (found.startedAt === undefined) recordDeparture(allocator, found.state, 'not-started', 0, now)
+      else recordDeparture(allocator, found.state, departureOf(outcome), now - found.startedAt, now)
     },
     stateShare (context, neededCallees) {
       update()
-      let share = ownShareOf(giver, classOf(context))
+      let share = ownShareOf(allocator, requestClassOf(context))
       for (const callee of neededCallees) share = Math.min(share, shareOf(callee, context.rank))
       return Math.round(1000 * share) / 1000
     },
@@ -128,8 +128,8 @@
     shareOf,
     mayBegin ({ context, isExpectedRetry }, share) {
       const { rank, workspace, weight } = context
-      const beginner = { key: `${calleeKey(context)}/${rank}`, workspace: workspace ?? '', weight, isExpectedRetry: isExpectedRetry === true }
-      return mayBegin(beginnings, beginner, share, clock.now(), random)
+      const newRequest = { key: `${calleeKey(context)}/${rank}`, workspace: workspace ?? '', weight, isExpectedRetry: isExpectedRetry === true }
+      return mayBegin(credits, newRequest, share, clock.now(), random)
     },
     close: () => clearInterval(timer)
   }
--- a/src/core/shares/giver.ts
+++ b/src/core/shares/allocator.ts
@@ -5,7 +5,7 @@
 const forgottenBelow = 1e-4
 
 /** What decides to which class a request at a target belongs. */
-export interface ClassOf {
+export interface RequestClass {
   route: string
   /** Priority of the caller's request, from 0. */
   rank: number
@@ -14,7 +14,7 @@
 }
 
 /** How a request left a target or the queue before it. */
-export type Leaving = 'not-started' | 'ended' | 'refused'
+export type Departure = 'not-started' | 'ended' | 'refused'
 
 /** Requests of one class at a target. */
 export interface ClassState {
@@ -50,7 +50,7 @@
  * started at once (Little's law: arrivals times the time for which one is held), not the number that waits: requests that wait for a full
  * target would count as load for as long as they wait.
  */
-export interface Giver {
+export interface Allocator {
   classes: Map<string, ClassState>
   windowAt: number
   /** Decayed counts of the requests that the target accepted and refused. */
@@ -66,17 +66,17 @@
   isShort: boolean
 }
 
-/** Creates the giver of a target that has no requests. */
-export function createGiver (now: number): Giver {
+/** Creates the allocator of a target that has no requests. */
+export function createAllocator (now: number): Allocator {
   return { classes: new Map(), windowAt: now, accepted: 0, refused: 0, excess: 0, isDividing: false, divided: 0, isShort: false }
 }
 
 /** Returns the name of a request's class: direct requests by route and rank, calls of requests in progress by rank. */
-function classNameOf ({ route, rank, isInProgress }: ClassOf): string {
+function classNameOf ({ route, rank, isInProgress }: RequestClass): string {
   return isInProgress ? `in progress/${rank}` : `${route}/${rank}`
 }
 
-function createClass (name: string, { rank, isInProgress }: ClassOf, now: number): ClassState {
+function createClass (name: string, { rank, isInProgress }: RequestClass, now: number): ClassState {
   return {
     name,
     rank,
@@ -98,16 +98,16 @@
   }
 }
 
-function findClass (giver: Giver, kind: ClassOf): ClassState | undefined {
-  return giver.classes.get(classNameOf(kind)) ?? giver.classes.get(classNameOf({ ...kind, route: '' }))
+function findClass (allocator: Allocator, kind: RequestClass): ClassState | undefined {
+  return allocator.classes.get(classNameOf(kind)) ?? allocator.classes.get(classNameOf({ ...kind, route: '' }))
 }
 
-function classFor (giver: Giver, kind: ClassOf, now: number): ClassState {
-  const known = findClass(giver, kind)
+function classFor (allocator: Allocator, kind: RequestClass, now: number): ClassState {
+  const known = findClass(allocator, kind)
   if (known !== undefined) return known
-  const name = classNameOf(giver.classes.size < maxClasses ? kind : { ...kind, route: '' })
+  const name = classNameOf(allocator.classes.size < maxClasses ? kind : { ...kind, route: '' })
   const created = createClass(name, kind, now)
-  giver.classes.set(name, created)
+  allocator.classes.set(name, created)
   return created
 }
 
@@ -117,8 +117,8 @@
 }
 
 /** Records a request that came to the target or its queue. `heardShare` is the share of its class that its caller's node reckoned with. Returns its class. */
-export function recordArrival (giver: Giver, kind: ClassOf, heardShare: number, now: number): ClassState {
-  const state = classFor(giver, kind, now)
+export function recordArrival (allocator: Allocator, kind: RequestClass, heardShare: number, now: number): ClassState {
+  const state = classFor(allocator, kind, now)
   state.waiting++
   state.arrived++
   state.heardShares += heardShare
@@ -133,19 +133,19 @@
 }
 
 /** Records that a request left the target, which had held it for `heldMs`, or the queue. */
-export function recordLeaving (giver: Giver, state: ClassState, leaving: Leaving, heldMs: number, now: number): void {
-  if (leaving === 'not-started') {
+export function recordDeparture (allocator: Allocator, state: ClassState, departure: Departure, heldMs: number, now: number): void {
+  if (departure === 'not-started') {
     state.waiting--
     return
   }
   integrate(state, now)
   state.running--
-  if (leaving === 'refused') {
+  if (departure === 'refused') {
     state.held -= heldMs
-    giver.refused++
+    allocator.refused++
     return
   }
-  giver.accepted++
+  allocator.accepted++
   state.ended++
 }
 
@@ -170,52 +170,52 @@
 }
 
 /** Returns the part of the requests with several calls that the target's own refusals let succeed. */
-function completedFraction ({ accepted, refused }: Giver): number {
+function completedFraction ({ accepted, refused }: Allocator): number {
   const acceptedFraction = (accepted + assumedAccepted) / (accepted + refused + assumedAccepted)
   return Math.min(1, acceptedFraction / (1 - toleratedRefusalFraction)) ** callsPerRequest
 }
 
 /** Updates whether more is asked for than a queue takes up. Chance makes demand exceed the room for moments long before it does so in the mean. */
-function updateExcess (giver: Giver, elapsedMs: number): void {
+function updateExcess (allocator: Allocator, elapsedMs: number): void {
   let [demand, arrivals] = [0, 0]
-  for (const state of giver.classes.values()) {
+  for (const state of allocator.classes.values()) {
     demand += state.demand
     arrivals += state.demand === 0 ? 0 : state.demand / holdingMsOf(state)
   }
   const requestWork = arrivals === 0 ? 0 : demand / arrivals
-  const most = giver.divided * shortAfterMs + shortAfterRequests * requestWork
-  giver.excess = Math.min(2 * most, Math.max(0, giver.excess + (demand - giver.divided) * elapsedMs))
-  if (giver.excess >= most) giver.isDividing = true
-  else if (giver.excess === 0) giver.isDividing = false
+  const most = allocator.divided * shortAfterMs + shortAfterRequests * requestWork
+  allocator.excess = Math.min(2 * most, Math.max(0, allocator.excess + (demand - allocator.divided) * elapsedMs))
+  if (allocator.excess >= most) allocator.isDividing = true
+  else if (allocator.excess === 0) allocator.isDividing = false
 }
 
 /** Closes the window that has ended, if any, and divides the room anew. `room` is the number of requests that the target works on well at once. */
-export function updateGiver (giver: Giver, room: number, now: number): void {
-  const elapsedMs = now - giver.windowAt
+export function updateAllocator (allocator: Allocator, room: number, now: number): void {
+  const elapsedMs = now - allocator.windowAt
   if (elapsedMs < windowMs) return
-  giver.windowAt = now
+  allocator.windowAt = now
   let backlog = 0
-  for (const state of giver.classes.values()) {
+  for (const state of allocator.classes.values()) {
     measure(state, elapsedMs, now)
     backlog += state.waiting * holdingMsOf(state)
-    if (state.running + state.waiting === 0 && state.arrivalMean < forgottenBelow) giver.classes.delete(state.name)
+    if (state.running + state.waiting === 0 && state.arrivalMean < forgottenBelow) allocator.classes.delete(state.name)
   }
   const decay = Math.exp(-elapsedMs / refusalMemoryMs)
-  giver.accepted *= decay
-  giver.refused *= decay
-  giver.divided = dividedFraction * room - Math.min(backlog / drainMs, maxDrainFraction * room)
-  updateExcess(giver, elapsedMs)
-  const states = [...giver.classes.values()]
-  const fractions = giver.isDividing ? divideRoom(states.map(({ rank, demand }) => ({ rank, amount: demand })), giver.divided) : states.map(() => 1)
-  const completed = completedFraction(giver)
-  giver.isShort = false
+  allocator.accepted *= decay
+  allocator.refused *= decay
+  allocator.divided = dividedFraction * room - Math.min(backlog / drainMs, maxDrainFraction * room)
+  updateExcess(allocator, elapsedMs)
+  const states = [...allocator.classes.values()]
+  const fractions = allocator.isDividing ? divideRoom(states.map(({ rank, demand }) => ({ rank, amount: demand })), allocator.divided) : states.map(() => 1)
+  const completed = completedFraction(allocator)
+  allocator.isShort = false
   for (const [index, state] of states.entries()) {
     state.share = Math.max(minShare, Math.min(fractions[index], state.isInProgress ? completed : 1))
-    if (state.share < 1) giver.isShort = true
+    if (state.share < 1) allocator.isShort = true
   }
 }
 
 /** Returns the share of a class as divided last. */
-export function ownShareOf (giver: Giver, kind: ClassOf): number {
-  return giver.isShort ? findClass(giver, kind)?.share ?? 1 : 1
+export function ownShareOf (allocator: Allocator, kind: RequestClass): number {
+  return allocator.isShort ? findClass(allocator, kind)?.share ?? 1 : 1
 }
--- a/src/core/shares/constants.ts
+++ b/src/core/shares/constants.ts
@@ -79,5 +79,8 @@
 /** Time for which there must be room for all before the log says so, in milliseconds. */
 export const reportedCalmMs = 2000
 
+/** Part of what is begun that expected retries may take ahead of others. With all of it, first requests would only ever be begun when they return. */
+export const advanceFraction = 0.5
+
 /** Requests by which expected retries may go ahead of the share at an entry node. */
 export const maxAdvance = 2
--- a/src/core/shares/beginnings.ts
+++ b/src/core/shares/credits.ts
@@ -1,5 +1,5 @@
 import type { Random } from '../random/index.ts'
-import { askedMemoryMs, askedSmoothing, maxAdvance, maxWorkspaces, windowMs } from './constants.ts'
+import { advanceFraction, askedMemoryMs, askedSmoothing, maxAdvance, maxWorkspaces, windowMs } from './constants.ts'
 import { bisect } from './divide.ts'
 
 /** Name under which workspaces beyond the largest number are counted; no workspace has it. */
@@ -22,9 +22,11 @@
 }
 
 /** Requests of one route and rank at an entry node, while there is not room for all of them. */
-interface RouteBeginnings {
+interface RouteCredit {
   /** Requests that may be begun; a request is begun for each whole one. */
   credit: number
+  /** Requests that expected retries may take ahead of the credit. */
+  advance: number
   /** Requests by which the begun ones are behind the share. */
   behind: number
   workspaces: Map<string, Asking>
@@ -35,10 +37,10 @@
 }
 
 /** Begun requests of an entry node, by route and rank. */
-export type Beginnings = Map<string, RouteBeginnings>
+export type Credits = Map<string, RouteCredit>
 
 /** A new request of a route for which there is not room for all. */
-export interface Beginner {
+export interface NewRequest {
   /** Names route and rank. */
   key: string
   workspace: string
@@ -48,7 +50,7 @@
 }
 
 /** Creates a collection without requests. */
-export function createBeginnings (): Beginnings {
+export function createCredits (): Credits {
   return new Map()
 }
 
@@ -57,7 +59,7 @@
 }
 
 /** Updates the level of max-min fairness at which `share` of all requests is begun. */
-function updateLevel (route: RouteBeginnings, share: number, now: number): void {
+function updateLevel (route: RouteCredit, share: number, now: number): void {
   const decay = Math.exp(-(now - route.leveledAt) / askedMemoryMs)
   route.leveledAt = now
   let [total, highest] = [0, 0]
@@ -76,14 +78,14 @@
 }
 
 /** Returns the part of one request that this request adds to the credit, and keeps the sum of such parts at the share. */
-function takePart (route: RouteBeginnings, asking: Asking, share: number): number {
+function takePart (route: RouteCredit, asking: Asking, share: number): number {
   const part = Math.min(1, Math.max(0, fractionOf(asking, route.level) + correction * route.behind))
   route.behind = Math.min(maxDifference, Math.max(-maxDifference, route.behind + share - part))
   return part
 }
 
 /** Counts a request of a workspace and returns what the workspace asks for. */
-function recordAsking ({ workspaces }: RouteBeginnings, { workspace, weight }: Beginner): Asking {
+function recordAsking ({ workspaces }: RouteCredit, { workspace, weight }: NewRequest): Asking {
   const name = workspaces.has(workspace) || workspaces.size < maxWorkspaces ? workspace : otherWorkspaces
   const asking = workspaces.get(name) ?? { asked: 0, weight }
   workspaces.set(name, asking)
@@ -94,24 +96,28 @@
 /**
  * Returns true when a new request is begun at this entry node. Of the requests of a route, `share` is begun, divided among workspaces by
  * max-min fairness. Fractions add up to whole requests (error diffusion), as an entry node often sees too few requests for lots. Expected
- * retries go first, ahead of the share by a few requests at most, which others then lack.
+ * retries may go ahead of the credit, which others then lack, with at most `advanceFraction` of what is begun.
  */
-export function mayBegin (beginnings: Beginnings, beginner: Beginner, share: number, now: number, random: Random): boolean {
-  let route = beginnings.get(beginner.key)
+export function mayBegin (credits: Credits, newRequest: NewRequest, share: number, now: number, random: Random): boolean {
+  let route = credits.get(newRequest.key)
   if (route === undefined) {
-    route = { credit: random.next(), behind: 0, workspaces: new Map(), level: 0, leveledAt: now, usedAt: now }
-    beginnings.set(beginner.key, route)
+    route = { credit: random.next(), advance: 0, behind: 0, workspaces: new Map(), level: 0, leveledAt: now, usedAt: now }
+    credits.set(newRequest.key, route)
   }
-  const asking = recordAsking(route, beginner)
+  const asking = recordAsking(route, newRequest)
   if (route.level === 0 || now - route.leveledAt >= windowMs) updateLevel(route, share, now)
   route.usedAt = now
-  route.credit += takePart(route, asking, share)
-  if (route.credit < (beginner.isExpectedRetry ? 1 - maxAdvance : 1)) return false
+  const part = takePart(route, asking, share)
+  route.credit += part
+  route.advance = Math.min(maxAdvance, route.advance + advanceFraction * part)
+  const goesAhead = newRequest.isExpectedRetry && route.advance >= 1
+  if (goesAhead) route.advance--
+  else if (route.credit < 1) return false
   route.credit--
   return true
 }
 
 /** Drops routes for which there has been room for a while. */
-export function pruneBeginnings (beginnings: Beginnings, now: number): void {
-  for (const [key, { usedAt }] of beginnings) if (now - usedAt > askedMemoryMs) beginnings.delete(key)
+export function pruneCredits (credits: Credits, now: number): void {
+  for (const [key, { usedAt }] of credits) if (now - usedAt > askedMemoryMs) credits.delete(key)
 }
--- a/test/shares/load.ts
+++ b/test/shares/load.ts
@@ -2,8 +2,8 @@
 import type { Admission, AdmissionDecision } from '../../src/core/admission/index.ts'
 import { createTimeline } from '../../src/core/bench/timeline.ts'
 import { createRandom } from '../../src/core/random/index.ts'
-import { createBeginnings, createGiver, createStatements, mayBegin, ownShareOf, recordArrival, recordLeaving, recordStart, recordStatement, statedShareOf, updateGiver } from '../../src/core/shares/index.ts'
-import type { ClassState, Giver } from '../../src/core/shares/index.ts'
+import { createCredits, createAllocator, createStatements, mayBegin, ownShareOf, recordArrival, recordDeparture, recordStart, recordStatement, statedShareOf, updateAllocator } from '../../src/core/shares/index.ts'
+import type { ClassState, Allocator } from '../../src/core/shares/index.ts'
 
 /** Mean working time of a call at the last service, in ms. */
 export const workMs = 45
@@ -50,7 +50,7 @@
   shares: (name: string, from: number, to: number) => number[]
 }
 
-interface Target { admission: Admission, giver: Giver, waiting: Map<string, { start: () => void, shed: () => void }> }
+interface Target { admission: Admission, allocator: Allocator, waiting: Map<string, { start: () => void, shed: () => void }> }
 
 const targetCount = 4
 
@@ -59,9 +59,9 @@
   const timeline = createTimeline()
   const random = createRandom(seed)
   const { now, after } = timeline
-  const targets: Target[] = Array.from({ length: targetCount }, () => ({ admission: createAdmission(slots, 0, false), giver: createGiver(0), waiting: new Map() }))
+  const targets: Target[] = Array.from({ length: targetCount }, () => ({ admission: createAdmission(slots, 0, false), allocator: createAllocator(0), waiting: new Map() }))
   const relays = Array.from({ length: 4 }, createStatements)
-  const entryNodes = Array.from({ length: 60 }, () => ({ statements: createStatements(), beginnings: createBeginnings() }))
+  const entryNodes = Array.from({ length: 60 }, () => ({ statements: createStatements(), credits: createCredits() }))
   const tallies = new Map<string, Tally[]>()
   const usage: number[] = []
   const samples = new Map<string, number[]>(routes.map(({ name }) => [name, []]))
@@ -86,20 +86,20 @@
   const call = (route: RouteLoad, heardShare: number, deadlineAt: number, done: (ok: boolean, node: string, share: number) => void) => {
     const index = chooseTarget()
     const target = targets[index]
-    const { giver, admission } = target
+    const { allocator, admission } = target
     const isInProgress = route.calls > 0
     const kind = { route: route.name, rank: route.rank, isInProgress }
     const id = `${sequence++}`
-    updateGiver(giver, slots, now())
-    const state: ClassState = recordArrival(giver, kind, heardShare, now())
+    updateAllocator(allocator, slots, now())
+    const state: ClassState = recordArrival(allocator, kind, heardShare, now())
     const end = (ok: boolean) => {
-      updateGiver(giver, slots, now())
+      updateAllocator(allocator, slots, now())
       target.waiting.delete(id)
-      done(ok, `${index}`, ownShareOf(giver, kind))
+      done(ok, `${index}`, ownShareOf(allocator, kind))
     }
     target.waiting.set(id, {
       shed () {
-        recordLeaving(giver, state, 'not-started', 0, now())
+        recordDeparture(allocator, state, 'not-started', 0, now())
         end(false)
       },
       start () {
@@ -108,7 +108,7 @@
         const isRefused = random.next() < refused(startedAt / 1000)
         const latencyMs = isRefused ? 2 : (0.5 + random.next()) * workMs / speed(index, startedAt / 1000)
         after(latencyMs, () => {
-          recordLeaving(giver, state, isRefused ? 'refused' : 'ended', now() - startedAt, now())
+          recordDeparture(allocator, state, isRefused ? 'refused' : 'ended', now() - startedAt, now())
           apply(target, finish(admission, { kind: route.name, latencyMs, failed: false }, now()))
           end(!isRefused)
         })
@@ -126,7 +126,7 @@
     const { rank, name } = route
     const share = statedShareOf(entry.statements, name, rank, cameAt)
     count('offered', cameAt)
-    if (isLimited && share < 1 && !mayBegin(entry.beginnings, { key: name, workspace, weight: 1, isExpectedRetry: false }, share, cameAt, random)) return
+    if (isLimited && share < 1 && !mayBegin(entry.credits, { key: name, workspace, weight: 1, isExpectedRetry: false }, share, cameAt, random)) return
     count('begun', cameAt)
     const deadlineAt = cameAt + deadlineMs
     if (route.calls === 0) {
--- a/test/shares/shares.test.ts
+++ b/test/shares/shares.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { createRandom } from '../../src/core/random/index.ts'
-import { createBeginnings, createGiver, createStatements, divideRoom, mayBegin, ownShareOf, pruneBeginnings, recordArrival, recordLeaving, recordStart, recordStatement, statedShareOf, updateGiver } from '../../src/core/shares/index.ts'
+import { createCredits, createAllocator, createStatements, divideRoom, mayBegin, ownShareOf, pruneCredits, recordArrival, recordDeparture, recordStart, recordStatement, statedShareOf, updateAllocator } from '../../src/core/shares/index.ts'
 
 const inProgress = { route: 'last', rank: 1, isInProgress: true }
 
@@ -41,24 +41,24 @@
 })
 
 test('a target without an end for a long time is short, although nothing was refused', () => {
-  const giver = createGiver(0)
+  const allocator = createAllocator(0)
   for (let now = 0; now < 2000; now += 20) {
-    const state = recordArrival(giver, inProgress, 1, now)
+    const state = recordArrival(allocator, inProgress, 1, now)
     if (now < 400) {
       recordStart(state, now)
-      recordLeaving(giver, state, 'ended', 0, now)
+      recordDeparture(allocator, state, 'ended', 0, now)
     } else if (now < 600) recordStart(state, now)
-    updateGiver(giver, 10, now)
+    updateAllocator(allocator, 10, now)
   }
-  assert.ok(ownShareOf(giver, inProgress) < 0.5)
+  assert.ok(ownShareOf(allocator, inProgress) < 0.5)
 })
 
 test('classes are few, however many routes there are, and idle ones are forgotten', () => {
-  const giver = createGiver(0)
-  for (let route = 0; route < 500; route++) recordLeaving(giver, recordArrival(giver, { route: `r${route}`, rank: route % 3, isInProgress: false }, 1, 0), 'not-started', 0, 0)
-  assert.ok(giver.classes.size <= 70)
-  for (let now = 200; now < 20_000; now += 200) updateGiver(giver, 10, now)
-  assert.equal(giver.classes.size, 0)
+  const allocator = createAllocator(0)
+  for (let route = 0; route < 500; route++) recordDeparture(allocator, recordArrival(allocator, { route: `r${route}`, rank: route % 3, isInProgress: false }, 1, 0), 'not-started', 0, 0)
+  assert.ok(allocator.classes.size <= 70)
+  for (let now = 200; now < 20_000; now += 200) updateAllocator(allocator, 10, now)
+  assert.equal(allocator.classes.size, 0)
 })
 
 test('a statement counts by room, ages out, and lets requests in step by step when nobody confirms it', () => {
@@ -88,12 +88,12 @@
 
 /** Asks `count` times and returns how many requests are begun. */
 function countBegun (count: number, share: number, stepMs: number, workspaceOf: (index: number) => string, isRetry: (index: number) => boolean = () => false): number[] {
-  const beginnings = createBeginnings()
+  const credits = createCredits()
   const random = createRandom(1)
   const begun: number[] = []
   for (let index = 0; index < count; index++) {
-    const beginner = { key: 'r', workspace: workspaceOf(index), weight: 1, isExpectedRetry: isRetry(index) }
-    if (mayBegin(beginnings, beginner, share, index * stepMs, random)) begun.push(index)
+    const newRequest = { key: 'r', workspace: workspaceOf(index), weight: 1, isExpectedRetry: isRetry(index) }
+    if (mayBegin(credits, newRequest, share, index * stepMs, random)) begun.push(index)
   }
   return begun
 }
@@ -113,15 +113,17 @@
   assert.ok(Math.abs(begun.length - 400) < 20)
 })
 
-test('few retries first does not starve new requests', () => {
+test('expected retries that would take all of the share leave a part to first requests', () => {
   const isRetry = (index: number) => index % 2 === 0
   const begun = countBegun(1000, 0.4, 5, () => 'w', isRetry)
+  const retries = begun.filter(isRetry).length
   assert.ok(Math.abs(begun.length - 400) < 20)
+  assert.ok(retries > 250 && begun.length - retries > 80, `${retries} of ${begun.length}`)
 })
 
 test('routes with room again are forgotten', () => {
-  const beginnings = createBeginnings()
-  mayBegin(beginnings, { key: 'r', workspace: 'w', weight: 1, isExpectedRetry: false }, 0.5, 0, createRandom(1))
-  pruneBeginnings(beginnings, 6000)
-  assert.equal(beginnings.size, 0)
+  const credits = createCredits()
+  mayBegin(credits, { key: 'r', workspace: 'w', weight: 1, isExpectedRetry: false }, 0.5, 0, createRandom(1))
+  pruneCredits(credits, 6000)
+  assert.equal(credits.size, 0)
 })
