Shares divide the slots that may be held, also by requests that wait for calls

Cause: the room counts requests at which a target works, shares count requests that it holds; a service whose requests mostly wait would have looked short by its room. Change: the gate states the room and the slots of waiting requests, at most the limit, to the shares.

--- a/src/core/node/gate.ts
+++ b/src/core/node/gate.ts
@@ -36,6 +36,8 @@
   limit: () => number
   /** Returns the number of requests that the target works on well at once: at most the limit, and equal to it where the room is not used. */
   room: () => number
+  /** Returns the number of slots that may be held at once: the room, and the slots of requests that wait for calls of their own; at most the limit. */
+  heldRoom: () => number
   /** Finds out the room of the target from its requests; undefined where the room is not used. */
   meter: RoomMeter | undefined
   /**
@@ -105,6 +107,11 @@
   return {
     meter,
     room: () => meter === undefined ? admission.limit.value : Math.min(admission.limit.value, meter.state().room),
+    heldRoom () {
+      if (meter === undefined) return admission.limit.value
+      const { room, working } = meter.state()
+      return Math.min(admission.limit.value, room + Math.max(0, admission.running - working))
+    },
     enter (entry) {
       let result: Admittance | undefined
       const resolveNow = (admittance: Admittance) => {
--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -125,7 +125,7 @@
   const spans = createSpans()
   const dependencies = createDependencies(clock)
   const reportedFractions = createReportedFractions()
-  const roomShares = options.roomShares === false ? undefined : createRoomShares(target.gate.room, environment)
+  const roomShares = options.roomShares === false ? undefined : createRoomShares(target.gate.heldRoom, environment)
   const claimHolder = serveClaims(peers, environment)
   const claims = createClaimClient(peers, environment, hash)
   const rates = createRateClient(peers, createMeter(options.rateWindowMs ?? 0), environment)
--- a/test/node/gate.test.ts
+++ b/test/node/gate.test.ts
@@ -53,3 +53,16 @@
   assert.deepEqual([gate.room(), gate.meter], [10, undefined])
   gate.close()
 })
+
+test('slots of requests that wait for calls of their own may be held beside the room', async () => {
+  const { time, gate } = createMovedGate(true)
+  assert.deepEqual(await gate.enter({ ...entry('a'), arrivedAt: 0 }), { type: 'started' })
+  gate.meter?.startRequest('r')
+  assert.equal(gate.heldRoom(), 5)
+  const endCall = gate.meter?.startCall()
+  assert.equal(gate.heldRoom(), 6)
+  endCall?.()
+  time.now = 2000
+  assert.equal(gate.heldRoom(), 10)
+  gate.close()
+})
