Fewer calls to targets that fail requests

A target that answers its own 500 at once looks free and fast, attracts calls, and nothing learns of it. Its node now states the fraction of its requests that failed by its own fault, not by a call that failed or was refused; other nodes multiply its weight by the probability that eight calls succeed there, relative to the half of the service that fails least, and send one probe in 500 ms where hardly any of that is left.

--- a/src/core/log/events.ts
+++ b/src/core/log/events.ts
@@ -171,7 +171,15 @@
     speed: number
     /** Room and speed in the last such line. */
     before: { room: number, speed: number }
-  }>({ name: 'room_changed', message: 'room or speed of the target changed', level: 'info', volume: { lines: 2, bytes: 1024 } })
+  }>({ name: 'room_changed', message: 'room or speed of the target changed', level: 'info', volume: { lines: 2, bytes: 1024 } }),
+  /** The target fails many of its requests by its own fault, or no longer does. */
+  failuresChanged: defineEvent<{
+    service: string
+    instance: string | null
+    isFailing: boolean
+    /** Fraction of its recent requests that failed by its own fault, beyond what chance explains. */
+    fraction: number
+  }>({ name: 'target_failures_changed', message: 'target fails requests by its own fault, or no longer does', volume: { lines: 2, bytes: 1024 } })
 } as const
 
 /** Events on how a revision of the configuration reaches a process. Times are in ms, revisions count changes. */
--- a/src/core/node/attempts.ts
+++ b/src/core/node/attempts.ts
@@ -8,7 +8,7 @@
 import type { Environment, Peers } from '../peers/index.ts'
 import { createRetryTokens, depositRetryToken, releaseBudget, reserveBudget, mayRetry, divideFleetRetries, consumeAttempt, takeRetryToken } from '../retries/index.ts'
 import type { Budget } from '../retries/index.ts'
-import { chooseTarget, createKnownStops, createTargetStats, recordAnswer, recordFailure, recordStart, recordStatement, statsOf } from '../routing/index.ts'
+import { chooseTarget, createKnownStops, createTargetStats, recordAnswer, recordFailure, recordStart, recordStatedFailures, recordStatement, statsOf } from '../routing/index.ts'
 import { inProgressPriority } from './constants.ts'
 import type { Decisions, TurnAway } from './decisions.ts'
 import { createDurations } from './durations.ts'
@@ -46,6 +46,12 @@
   return outcome.type === 'refused' && !outcome.arrived
 }
 
+/** Returns true for an outcome that the node of a target with the service has reported. */
+function isStatedByTarget (outcome: AttemptOutcome): boolean {
+  if (outcome.type === 'refused' && outcome.failure.code === 'noTarget') return false
+  return outcome.type === 'answered' || outcome.report.share !== undefined
+}
+
 /** Returns the outcome of a call: that of the last attempt, unless it is a refusal, which states "not run", and an earlier attempt may have run. */
 function finalOutcome (last: AttemptOutcome, mayHaveRun: AttemptOutcome | undefined): AttemptOutcome {
   return last.type === 'refused' && mayHaveRun !== undefined ? { ...mayHaveRun, report: last.report } : last
@@ -128,13 +134,19 @@
     }
     if (report.share !== undefined) recordReportedFraction(reportedFractions, fractionKeyOf(callContext), node, report.share, clock.now())
   }
+  /** Returns the latency that counts for an attempt. An answer that fails at once does not make its target a fast one. */
+  const learntLatencyMs = (outcome: AttemptOutcome, latencyMs: number, meanMs: number): number =>
+    roomPlacement && outcome.report.ownFailures !== undefined ? Math.max(latencyMs, meanMs) : latencyMs
   const recordAttempt = (callContext: CallContext, outcome: AttemptOutcome, endpoint: Endpoint, latencyMs: number) => {
     const stats = statsOf(statsByNode, endpoint.node)
     const now = clock.now()
-    if (roomPlacement) recordStatement(stats.statements, calleeKey(callContext), outcome.report, now)
+    if (roomPlacement) {
+      recordStatement(stats.statements, calleeKey(callContext), outcome.report, now)
+      if (isStatedByTarget(outcome)) recordStatedFailures(stats.statedFailures, outcome.report.ownFailures, now)
+    }
     recordShare(callContext, outcome, endpoint.node)
     metrics.count(`attempts_total{outcome="${outcome.type}"}`)
-    if (outcome.type === 'answered') return recordAnswer(stats, latencyMs, outcome.report.load, now)
+    if (outcome.type === 'answered') return recordAnswer(stats, learntLatencyMs(outcome, latencyMs, stats.latencyMs), outcome.report.load, now)
     const unreachable = outcome.type === 'refused' && outcome.failure.code === 'noTarget'
     if (outcome.type === 'refused' && !unreachable) return recordAnswer(stats, stats.latencyMs, outcome.report.load, now)
     recordFailure(stats, now)
--- a/src/core/node/call-codec.ts
+++ b/src/core/node/call-codec.ts
@@ -52,8 +52,8 @@
 }
 
 /** Encodes the head of an answer. */
-export function encodeHead (status: number, headers: string[], { used, load, shed, share, room, workMs }: Report): unknown[] {
-  return [status, headers, used, load, shed, share ?? absentValue, room ?? absentValue, workMs ?? absentValue]
+export function encodeHead (status: number, headers: string[], { used, load, shed, share, room, workMs, ownFailures }: Report): unknown[] {
+  return [status, headers, used, load, shed, share ?? absentValue, room ?? absentValue, workMs ?? absentValue, ownFailures ?? absentValue]
 }
 
 /** Encodes the reason why there is no answer. */
@@ -71,8 +71,8 @@
 /** Decodes a reply. Returns undefined for a value of another version of the program. */
 export function decodeReply (value: unknown): CallReply | undefined {
   if (Array.isArray(value)) {
-    const [status, headers, used, load, shed, share, room, workMs] = value as [number, string[], number, number, boolean, number | null, number | null, number | null]
-    return { type: 'head', status, headers, report: { used, load, shed, ...withoutAbsent({ share, room, workMs }) } }
+    const [status, headers, used, load, shed, share, room, workMs, ownFailures = absentValue] = value as [number, string[], number, number, boolean, number | null, number | null, number | null, number | null | undefined]
+    return { type: 'head', status, headers, report: { used, load, shed, ...withoutAbsent({ share, room, workMs, ownFailures }) } }
   }
   const unanswered = value as Unanswered | null
   return unanswered !== null && typeof unanswered === 'object' && 'failure' in unanswered ? { type: 'unanswered', unanswered } : undefined
--- a/src/core/node/entry.ts
+++ b/src/core/node/entry.ts
@@ -4,6 +4,7 @@
 import { invariant } from '../errors/index.ts'
 import { fingerprintOf } from '../quarantine/index.ts'
 import { createBudget } from '../retries/index.ts'
+import type { Budget } from '../retries/index.ts'
 import type { ReadBody } from './body.ts'
 import { inProgressPriority, waitFraction } from './constants.ts'
 import type { RequestEnd } from './decisions.ts'
@@ -12,7 +13,7 @@
 import type { Arrival, EntryContext } from './filters.ts'
 import { createResponseSink } from './sinks.ts'
 import { calleeKey, createCancellation } from './types.ts'
-import type { Call } from './types.ts'
+import type { AttemptOutcome, Call, Sink } from './types.ts'
 
 const defaultParameters: EffectiveParameters = { rate: 0, burst: 0, weight: 1, retryBudget: 2 }
 
@@ -81,6 +82,20 @@
   if (identity !== undefined && rateCountedAt !== undefined) rates.refundRequest(identity.workspace, rateCountedAt)
 }
 
+/** Sends a call of the node's own target, which knows then that the call is under way and how it ended. */
+async function sendInProgress (call: Call, budget: Budget, sink: Sink, { callSender, gate, ownFailures }: EntryContext): Promise<AttemptOutcome> {
+  const recordEnd = gate.startCall()
+  const recordOutcome = ownFailures?.startCall()
+  let outcome: AttemptOutcome | undefined
+  try {
+    outcome = await callSender.send(call, budget, sink)
+    return outcome
+  } finally {
+    recordEnd()
+    recordOutcome?.(outcome)
+  }
+}
+
 /** Serves one request of a caller that was read at `arrivedAt`, and writes its answer or refusal. */
 export async function serveCaller (request: IncomingMessage, response: ServerResponse, arrivedAt: number, context: EntryContext): Promise<void> {
   const { dialect, decisions } = context
@@ -105,6 +120,7 @@
     const checked = pending instanceof Promise ? await pending : pending
     if (checked.ok) continue
     metrics.count(`refused_total{code="${checked.name}"}`)
+    if (isCallInProgress(arrival, context)) context.ownFailures?.refuseCall()
     decisions.refuseArrival(arrival, checked)
     return context.refusals.refuseArrival(response, checked, arrival)
   }
@@ -124,8 +140,7 @@
   })
   if (!context.recordBegun(response)) return refundRate(arrival, context)
   const budget = createBudget(call.context.budget)
-  const recordCallEnd = inProgress ? context.gate.startCall() : undefined
-  const outcome = await context.callSender.send(call, budget, sink).finally(recordCallEnd)
+  const outcome = inProgress ? await sendInProgress(call, budget, sink, context) : await context.callSender.send(call, budget, sink)
   if (outcome.type === 'refused') refundRate(arrival, context)
   metrics.time('call', clock.now() - arrivedAt)
   metrics.count(`calls_total{outcome="${outcome.type}"}`)
--- a/src/core/node/filters.ts
+++ b/src/core/node/filters.ts
@@ -15,6 +15,7 @@
 import type { Gate } from './gate.ts'
 import { containsKey } from './headers.ts'
 import type { Directory, Identity } from './identity.ts'
+import type { OwnFailures } from './own-failures.ts'
 import type { Refusals } from './refusals.ts'
 import type { KeyCheck } from './key-check.ts'
 import { isInProgress } from './origin.ts'
@@ -59,6 +60,8 @@
   estimateRank: (route: EffectiveRoute) => number
   /** Gate of the node's own target, which learns of the calls that the target has under way. */
   gate: Pick<Gate, 'startCall'>
+  /** Failures of the node's own target; undefined where they are not stated. */
+  ownFailures?: OwnFailures
   /** Returns true while the node's own target works on a request. */
   isTargetWorking: () => boolean
   /** Records that a request was passed on and may run from now on. Returns false for one that has been answered meanwhile. */
--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -35,6 +35,7 @@
 import { createPipeline } from './pipeline.ts'
 import type { PipelineOptions } from './pipeline.ts'
 import { createRefusals } from './refusals.ts'
+import { createOwnFailures } from './own-failures.ts'
 import { watchRoom } from './room-log.ts'
 import { createRoomShares } from './room-shares.ts'
 import { createRunningRequests, giveUpRunning } from './running.ts'
@@ -118,6 +119,7 @@
   const dependencies = createDependencies(clock)
   const reportedFractions = createReportedFractions()
   const roomShares = options.roomShares === false ? undefined : createRoomShares(target.gate.room, environment)
+  const ownFailures = roomPlacement ? createOwnFailures(clock) : undefined
   const claimHolder = serveClaims(peers, environment)
   const claims = createClaimClient(peers, environment, hash)
   const rates = createRateClient(peers, createMeter(options.rateWindowMs ?? 0), environment)
@@ -128,7 +130,7 @@
   const findKeyFailure = createKeyCheck(peers, clock, { configuredBy: dialect.configuredBy, strict: strictKeys })
   const crashes = createCrashReporter(peers, target, environment)
   const mayBegin = (request: StoppingRequest) => beginsDuring(stop, request, clock.now())
-  const server = createCallServer({ dialect, findKeyFailure, mayBegin, dependencies, reportedFractions, roomShares, rankedWaiting, peers, target, claims, crashes, spans, decisions, environment })
+  const server = createCallServer({ dialect, findKeyFailure, mayBegin, dependencies, reportedFractions, roomShares, ownFailures, rankedWaiting, peers, target, claims, crashes, spans, decisions, environment })
   const forwarder = createForwarder(peers, environment)
   peers.onMemberChange((member) => {
     if (member.status !== 'alive') forwarder.probeNode(member.address)
@@ -150,7 +152,7 @@
   const isTargetWorking = () => server.running() > 0
   const estimateRank = ({ service, name: route, priority }: EffectiveRoute) => (rankedWaiting ? dependencies.drawRank(calleeKey({ service, route }), random) : undefined) ?? priority
   const { gate } = target
-  const entryContext = { dialect, dependencies, estimateRank, gate, peers, directory, rates, callSender, refusals, bodyBudget, findKeyFailure, mayBegin, isTargetWorking, recordBegun, decisions, environment }
+  const entryContext = { dialect, dependencies, estimateRank, gate, ownFailures, peers, directory, rates, callSender, refusals, bodyBudget, findKeyFailure, mayBegin, isTargetWorking, recordBegun, decisions, environment }
   const outgoingContext = { dialect, dependencies, gate, findKeyFailure, peers, directory, spans, callSender, refusals, bodyBudget, mayBegin, recordBegun, decisions, environment }
   const backlog = createBacklog(clock)
   const running = createRunningRequests(clock)
@@ -212,7 +214,7 @@
   metrics.gauge('limit', () => target.gate.limit())
   metrics.gauge('slots_waiting', gate.waitingSlots)
   metrics.gauge('slots_reserved', gate.reservedSlots)
-  const roomLog = watchRoom(id, target, environment)
+  const roomLog = watchRoom(id, target, ownFailures, environment)
   log.info('node started', { id, domain, listen: listenAddress, peer: peers.address, local: localAddress })
 
   /** Reports to the leader which configuration revision this node applies, for `status`. */
--- a/src/core/node/outgoing.ts
+++ b/src/core/node/outgoing.ts
@@ -17,6 +17,7 @@
 import type { Directory } from './identity.ts'
 import type { Refusals } from './refusals.ts'
 import type { KeyCheck } from './key-check.ts'
+import { hasCallFailed } from './own-failures.ts'
 import { createResponseSink, writeFailure } from './sinks.ts'
 import { recordOutgoingStart, countOccurrence, recordOutgoingEnd } from './spans.ts'
 import type { Span, Spans } from './spans.ts'
@@ -105,6 +106,7 @@
   const startedAt = clock.now()
   const span = context.spans.find(String(request.headers[contextHeader]))
   const refuse = (failure: Failure) => {
+    if (span !== undefined) span.hasFailedCall = true
     context.decisions.refuseOutgoing(request, span?.context, failure)
     writeFailure(response, failure, 'not-run')
   }
@@ -130,6 +132,7 @@
   })
   stopListening()
   if (outcome.report.shed) span.shed = true
+  if (hasCallFailed(outcome)) span.hasFailedCall = true
   context.decisions.endRequest(outgoingCall, { outcome, extraAttempts: 0, startedAt })
   metrics.count(`outgoing_total{outcome="${outcome.type}"}`)
   await context.refusals.refuseUnlessAnswered(response, outgoingCall, outcome)
--- a/src/core/node/room-log.ts
+++ b/src/core/node/room-log.ts
@@ -1,6 +1,7 @@
 import { createEventWriter, targetEvents } from '../log/index.ts'
 import type { Environment } from '../peers/index.ts'
 import type { RoomStatement } from '../room/index.ts'
+import type { OwnFailures } from './own-failures.ts'
 import type { OwnTarget } from './target.ts'
 
 /** Time between two checks for a changed room, in milliseconds. */
@@ -22,18 +23,37 @@
   return Math.round(value * 100) / 100
 }
 
-/** Exposes the room of the node's own target as gauges, and logs changes of it until it is closed. */
-export function watchRoom (node: string, target: Pick<OwnTarget, 'gate' | 'current' | 'instance'>, { clock, log, metrics }: Environment): { close: () => void } {
+/** Fraction of own failures from which a target counts as failing for the log, and the one below which it has recovered. */
+const loggedFailures = 0.3
+const loggedRecovery = 0.1
+
+/** Returns whether a target counts as failing, by the fraction of its own failures and whether it did before. */
+export function isTargetFailing (fraction: number, before: boolean): boolean {
+  return fraction >= (before ? loggedRecovery : loggedFailures)
+}
+
+/** Exposes the room and the failures of the node's own target as gauges, and logs changes of them until it is closed. */
+export function watchRoom (node: string, target: Pick<OwnTarget, 'gate' | 'current' | 'instance'>, ownFailures: OwnFailures | undefined, { clock, log, metrics }: Environment): { close: () => void } {
   const { meter } = target.gate
   if (meter === undefined) return { close () {} }
   metrics.gauge('target_room', target.gate.room)
   metrics.gauge('target_working', () => meter.state().working)
   metrics.gauge('target_speed', () => meter.state().speed)
+  const failures = () => ownFailures?.fraction() ?? 0
+  metrics.gauge('target_failures', failures)
   const writer = createEventWriter(node, log, metrics, clock)
   let before: Pick<RoomStatement, 'room' | 'speed'> | undefined
+  let wasFailing = false
+  const checkFailures = (service: string) => {
+    const isFailing = isTargetFailing(failures(), wasFailing)
+    if (isFailing === wasFailing) return
+    wasFailing = isFailing
+    writer.write(targetEvents.failuresChanged, () => ({ service, instance: target.instance() ?? null, isFailing, fraction: round(failures()) }))
+  }
   const check = () => {
     const current = target.current()
     if (current === undefined) return
+    checkFailures(current.service)
     const state = meter.state()
     const last = before ?? { room: current.slots, speed: 1 }
     if (!isRoomChanged(state, last)) return
--- a/src/core/node/serve.ts
+++ b/src/core/node/serve.ts
@@ -20,6 +20,7 @@
 import { headerOf } from './headers.ts'
 import type { KeyCheck } from './key-check.ts'
 import { createRefusedIds } from './refused-ids.ts'
+import type { EndedRequest, OwnFailures } from './own-failures.ts'
 import type { RoomShares } from './room-shares.ts'
 import { createSerialQueue } from './serial-queue.ts'
 import { createHeldSink } from './sinks.ts'
@@ -38,6 +39,9 @@
 /** Lowest status of an answer that says that the target failed. */
 const firstServerErrorStatus = 500
 
+/** Status of an answer that says that a request took too long. */
+const timeoutStatus = 504
+
 /** Serves calls with the node's own target. */
 export interface CallServer {
   serve: (call: Call, sink: Sink) => Promise<AttemptOutcome>
@@ -60,6 +64,8 @@
   reportedFractions: ReportedFractions
   /** Shares of the room; undefined where admission fractions are stated in their place. */
   roomShares?: RoomShares
+  /** Failures of the node's own target; undefined where they are not stated. */
+  ownFailures?: OwnFailures
   /** Whether requests wait by the rank of the caller's request that they belong to. Targets then report a fraction for each priority. Default: false. */
   rankedWaiting?: boolean
   decisions: Decisions
@@ -118,9 +124,15 @@
   return sample.failed || status >= firstServerErrorStatus ? 'failed' : 'good'
 }
 
+/** Returns how a request ended that the target answered, for the record of its failures. */
+function ownEndOf (status: number): EndedRequest['end'] {
+  if (status === timeoutStatus) return 'timeout'
+  return status >= firstServerErrorStatus ? 'failed' : 'good'
+}
+
 /** Creates the part of a node that serves calls with its own target. */
 export function createCallServer (context: ServeContext): CallServer {
-  const { dialect, findKeyFailure, mayBegin, peers, target, claims, crashes, spans, dependencies, reportedFractions, roomShares, rankedWaiting = false, decisions, environment } = context
+  const { dialect, findKeyFailure, mayBegin, peers, target, claims, crashes, spans, dependencies, reportedFractions, roomShares, ownFailures, rankedWaiting = false, decisions, environment } = context
   const { clock, metrics } = environment
   const suspectQueue = createSerialQueue()
   const refusedIds = createRefusedIds(clock)
@@ -142,19 +154,25 @@
     const needed = callees.map((callee) => reportedFraction(callee, priority, now))
     return Math.round(1000 * Math.min(target.gate.admissionFraction(priority, needed.length > 0), ...needed)) / 1000
   }
-  /** Returns what this node states about the room of its target; nothing where it has no such target. */
-  const roomStatement = ({ context }: Call): Pick<Report, 'room' | 'workMs'> => {
+  /** Returns what this node states about the failures of its target. */
+  const failureStatement = (): Pick<Report, 'ownFailures'> => {
+    const fraction = ownFailures?.fraction()
+    return fraction === undefined ? {} : { ownFailures: fraction }
+  }
+  /** Returns what this node states about its target; nothing where it has no such target. */
+  const targetStatement = ({ context }: Call): Pick<Report, 'room' | 'workMs' | 'ownFailures'> => {
     const { gate } = target
     if (gate.meter === undefined || target.current()?.service !== context.service) return {}
     const workMs = gate.meter.workingMs(context.route)
-    return workMs === undefined ? { room: gate.room() } : { room: gate.room(), workMs: Math.max(0.01, Math.round(workMs * 100) / 100) }
+    const statedMs = workMs === undefined ? {} : { workMs: Math.max(0.01, Math.round(workMs * 100) / 100) }
+    return { room: gate.room(), ...statedMs, ...failureStatement() }
   }
   const createReport = (call: Call, span?: Span): Report => ({
-    used: span?.budget.used ?? 0, load: target.gate.load(), shed: span?.shed ?? false, share: statedShare(call.context), ...roomStatement(call)
+    used: span?.budget.used ?? 0, load: target.gate.load(), shed: span?.shed ?? false, share: statedShare(call.context), ...targetStatement(call)
   })
   const createRefusal = (call: Call, failure: Failure, elsewhere: boolean, arrived = false): AttemptOutcome => {
     const shed = failure.code === 'overloaded' || arrived
-    return { type: 'refused', failure, elsewhere, arrived, report: { ...emptyReport, load: target.gate.load(), shed, share: statedShare(call.context), ...roomStatement(call) } }
+    return { type: 'refused', failure, elsewhere, arrived, report: { ...emptyReport, load: target.gate.load(), shed, share: statedShare(call.context), ...targetStatement(call) } }
   }
   const createFailure = (call: Call, failure: Failure, crashed: boolean, span?: Span): AttemptOutcome => ({ type: 'failed', failure, crashed, report: createReport(call, span) })
 
@@ -283,6 +301,11 @@
     running++
     dependencies.recordStart(call.context.route, call.context.rank)
     span.meter = target.gate.meter?.startRequest(call.context.route)
+    const recordOwnEnd = (end: EndedRequest['end']) => {
+      if (instance !== target.instance()) return
+      const workMs = target.gate.meter?.workingMs(call.context.route)
+      ownFailures?.recordEnd({ instance, startedAt, end, calls: { hasFailed: span.hasFailedCall, underWay: span.outgoingRunning }, timeoutMs: call.deadlineAt - startedAt, workMs })
+    }
     const closeRun = (sample: { failed: boolean } | undefined) => {
       running--
       span.meter?.end(resultOf(sample, status, targetRefused))
@@ -314,6 +337,7 @@
         status = code
         targetRefused = dialect.reportsNotRun(code, received)
         if (targetRefused) return isCertainRefusal(pool, requestId, echoed, code)
+        recordOwnEnd(ownEndOf(code))
         answerHeaders = dialect.answerHeaders(received)
         sink.head(code, answerHeaders, createReport(call, span))
         return true
@@ -343,6 +367,7 @@
         })
       },
       error (error) {
+        if (error.written && error.cause !== 'cancelled') recordOwnEnd(error.cause === 'timeout' ? 'timeout' : 'failed')
         decisions.recordTargetFailure(call, { error, instance, startedAt })
         void handleExchangeError(call, sink, claim, span, error).then(({ outcome, sample }) => finishRun(outcome, sample))
       }
--- a/src/core/node/spans.ts
+++ b/src/core/node/spans.ts
@@ -23,6 +23,8 @@
   outgoingSince: number
   /** True when an outgoing call was refused for overload. */
   shed: boolean
+  /** True when an outgoing call was refused or failed. */
+  hasFailedCall: boolean
   /** Counts the request in the room of the target; undefined where the room is not used. */
   meter: RequestMeter | undefined
 }
@@ -54,6 +56,7 @@
         outgoingRunning: 0,
         outgoingSince: 0,
         shed: false,
+        hasFailedCall: false,
         meter: undefined
       }
       spans.set(span.token, span)
--- a/src/core/node/types.ts
+++ b/src/core/node/types.ts
@@ -95,6 +95,8 @@
   room?: number
   /** Mean working time at the target of requests of this call's route, without their own calls, in ms; missing until some have ended. */
   workMs?: number
+  /** Fraction of its recent requests that failed by the target's own fault, beyond what chance explains; missing for none. */
+  ownFailures?: number
 }
 
 /** Receives an answer as a stream. */
--- a/src/core/routing/choice.ts
+++ b/src/core/routing/choice.ts
@@ -1,4 +1,6 @@
 import type { Random } from '../random/index.ts'
+import { createStatedFailures, isFailing, isProbeDue, statedFractionOf, weighFailures } from './failing.ts'
+import type { StatedFailures } from './failing.ts'
 import { weighPlaces } from './placement.ts'
 import type { PlaceWeight } from './placement.ts'
 import { createStatements, statementOf } from './statements.ts'
@@ -53,6 +55,8 @@
   silentSince: number
   /** What the target's node stated about its room. */
   statements: Statements
+  /** What the target's node stated about requests that failed by its own fault. */
+  statedFailures: StatedFailures
   failures: number
   ejections: number
   ejectedUntil: number
@@ -80,7 +84,18 @@
 
 function createStats (): TargetStats {
   return {
-    inFlight: 0, latencyMs: 0, load: 0, loadAt: -Infinity, meanLoad: 0, inFlightAtReport: 0, silentSince: 0, statements: createStatements(), failures: 0, ejections: 0, ejectedUntil: -Infinity
+    inFlight: 0,
+    latencyMs: 0,
+    load: 0,
+    loadAt: -Infinity,
+    meanLoad: 0,
+    inFlightAtReport: 0,
+    silentSince: 0,
+    statements: createStatements(),
+    statedFailures: createStatedFailures(),
+    failures: 0,
+    ejections: 0,
+    ejectedUntil: -Infinity
   }
 }
 
@@ -135,13 +150,55 @@
   return available.length >= candidates.length * (1 - maxEjectedFraction) && available.length > 0 ? available : candidates
 }
 
+/** Targets to choose from, with the part of its usual calls that each should get where it fails more requests than others. */
+interface Choice {
+  candidates: readonly Candidate[]
+  /** By node; missing for 1. */
+  successParts: ReadonlyMap<string, number>
+  /** Targets left out because they fail most requests. They get probes. */
+  failing: readonly Candidate[]
+}
+
+const noParts: ReadonlyMap<string, number> = new Map()
+
+/** Returns the candidates without those that are ejected or fail most requests. */
+function findChoice (statsByNode: TargetStatsMap, candidates: readonly Candidate[], now: number): Choice {
+  const available = withoutEjected(statsByNode, candidates, now)
+  const fractions = available.map(({ node }) => statedFractionOf((statsByNode.get(node) ?? unknownStats).statedFailures, now))
+  if (fractions.every((fraction) => fraction === 0)) return { candidates: available, successParts: noParts, failing: [] }
+  // Ejected targets count as those that fail most: both together take out at most half of the slots.
+  const ejected = candidates.filter((candidate) => !available.includes(candidate))
+  const parts = weighFailures([...available.map(({ slots }, index) => ({ slots, fraction: fractions[index] })), ...ejected.map(({ slots }) => ({ slots, fraction: 1 }))])
+  const successParts = new Map(available.map(({ node }, index) => [node, parts[index]]))
+  return {
+    candidates: available.filter((_, index) => !isFailing(parts[index])),
+    successParts,
+    failing: available.filter((_, index) => isFailing(parts[index]))
+  }
+}
+
+/** Returns a failing target that is due to get a probe, and records that it gets one. Those in other failure domains are probed where none is left in the own one. */
+function takeProbe (statsByNode: TargetStatsMap, { candidates, failing }: Choice, ownDomain: string, now: number): Candidate | undefined {
+  if (failing.length === 0) return undefined
+  const isAnyLocal = [...candidates, ...failing].some(({ domain }) => domain === ownDomain)
+  for (const candidate of failing) {
+    if (isAnyLocal && candidate.domain !== ownDomain) continue
+    const { statedFailures } = statsOf(statsByNode, candidate.node)
+    if (!isProbeDue(statedFailures, now)) continue
+    statedFailures.probedAt = now
+    return candidate
+  }
+  return undefined
+}
+
 /** Returns the cheaper of two random candidates. */
-function betterOfTwo (statsByNode: TargetStatsMap, candidates: readonly Candidate[], now: number, random: Random): Candidate | undefined {
+function betterOfTwo (statsByNode: TargetStatsMap, successParts: Choice['successParts'], candidates: readonly Candidate[], now: number, random: Random): Candidate | undefined {
   if (candidates.length <= 1) return candidates[0]
   const first = random.below(candidates.length)
   const second = (first + 1 + random.below(candidates.length - 1)) % candidates.length
   const [left, right] = [candidates[first], candidates[second]]
-  return cost(statsByNode, left, now) <= cost(statsByNode, right, now) ? left : right
+  const costOf = (candidate: Candidate) => cost(statsByNode, candidate, now) / (successParts.get(candidate.node) ?? 1)
+  return costOf(left) <= costOf(right) ? left : right
 }
 
 function cost (statsByNode: TargetStatsMap, candidate: Candidate, now: number): number {
@@ -151,14 +208,14 @@
 
 /** Weighs the candidates for a callee, each named by service and route. Returns undefined when none of them has stated its room. */
 function weighCandidates (
-  statsByNode: TargetStatsMap, candidates: readonly Candidate[], ownDomain: string, callee: string, now: number
+  statsByNode: TargetStatsMap, candidates: readonly Candidate[], successParts: Choice['successParts'], ownDomain: string, callee: string, now: number
 ): PlaceWeight[] | undefined {
   return weighPlaces(candidates.map(({ node, domain, slots }) => {
     const stats = statsByNode.get(node) ?? unknownStats
     const load = Math.max(meanLoadOf(stats, now), Math.min(stats.inFlight, stats.inFlightAtReport) / slots)
     const newCalls = Math.max(0, stats.inFlight - stats.inFlightAtReport)
     const silence = silentMsOf(stats, now) / (shortestSilenceMs + silenceLatencies * stats.latencyMs)
-    return { isLocal: domain === ownDomain, slots, load, newCalls, silence, statement: statementOf(stats.statements, callee, now) }
+    return { isLocal: domain === ownDomain, slots, load, newCalls, silence, successPart: successParts.get(node) ?? 1, statement: statementOf(stats.statements, callee, now) }
   }))
 }
 
@@ -178,38 +235,44 @@
   /** Age of what its node stated about this callee, in ms; undefined when it has stated nothing. */
   ageMs: number | undefined
   isEjected: boolean
+  /** Part of its usual calls that it should get, below 1 where it fails more requests than others of its service; 0 where it gets probes only. */
+  successPart: number
 }
 
 /** Explains the choice of a target for a callee, and changes nothing. Returns undefined where the better of two random targets is chosen, as nothing is known. */
 export function explainChoice (
   statsByNode: TargetStatsMap, candidates: readonly Candidate[], ownDomain: string, callee: string, now: number
 ): ChoiceExplanation[] | undefined {
-  const available = withoutEjected(statsByNode, candidates, now)
-  const weights = weighCandidates(statsByNode, available, ownDomain, callee, now)
-  const all = weights && weighCandidates(statsByNode, candidates, ownDomain, callee, now)
+  const { candidates: available, successParts, failing } = findChoice(statsByNode, candidates, now)
+  const weights = weighCandidates(statsByNode, available, successParts, ownDomain, callee, now)
+  const all = weights && weighCandidates(statsByNode, candidates, successParts, ownDomain, callee, now)
   return all?.map((place, index) => {
     const { node, domain } = candidates[index]
     const weight = weights?.[available.indexOf(candidates[index])]?.weight ?? 0
     const { statements, ejectedUntil } = statsByNode.get(node) ?? unknownStats
-    return { ...place, node, domain, weight, ageMs: statementOf(statements, callee, now)?.ageMs, isEjected: ejectedUntil > now }
+    return { ...place, node, domain, weight, ageMs: statementOf(statements, callee, now)?.ageMs, isEjected: ejectedUntil > now, successPart: failing.includes(candidates[index]) ? 0 : successParts.get(node) ?? 1 }
   })
 }
 
 /**
  * Chooses a target. Where targets have stated their room for the callee, they are weighed by it; a call without a callee is placed without statements.
  * Otherwise: the better of two random ones in this node's failure domain. When that one is loaded,
- * compares it with the better of two in other failure domains and chooses the less loaded.
+ * compares it with the better of two in other failure domains and chooses the less loaded. Targets whose nodes state that they fail more requests than
+ * others get fewer calls.
  */
 export function chooseTarget (
   statsByNode: TargetStatsMap, candidates: readonly Candidate[], ownDomain: string, now: number, random: Random, callee?: string
 ): Candidate | undefined {
-  const available = withoutEjected(statsByNode, candidates, now)
-  const weights = callee === undefined ? undefined : weighCandidates(statsByNode, available, ownDomain, callee, now)
+  const choice = findChoice(statsByNode, candidates, now)
+  const probed = takeProbe(statsByNode, choice, ownDomain, now)
+  if (probed !== undefined) return probed
+  const { candidates: available, successParts } = choice
+  const weights = callee === undefined ? undefined : weighCandidates(statsByNode, available, successParts, ownDomain, callee, now)
   if (weights !== undefined) return pickByWeight(available, weights, random)
   const local = available.filter((candidate) => candidate.domain === ownDomain)
-  const bestLocal = betterOfTwo(statsByNode, local, now, random)
+  const bestLocal = betterOfTwo(statsByNode, successParts, local, now, random)
   if (bestLocal !== undefined && currentLoad(statsOf(statsByNode, bestLocal.node), bestLocal, now) < overflowLoad) return bestLocal
-  const bestRemote = betterOfTwo(statsByNode, available.filter((candidate) => candidate.domain !== ownDomain), now, random)
+  const bestRemote = betterOfTwo(statsByNode, successParts, available.filter((candidate) => candidate.domain !== ownDomain), now, random)
   if (bestLocal === undefined || bestRemote === undefined) return bestLocal ?? bestRemote
   const localLoad = currentLoad(statsOf(statsByNode, bestLocal.node), bestLocal, now)
   const remoteLoad = currentLoad(statsOf(statsByNode, bestRemote.node), bestRemote, now)
--- a/src/core/routing/index.ts
+++ b/src/core/routing/index.ts
@@ -1,4 +1,6 @@
 export { chooseTarget, createTargetStats, explainChoice, recordAnswer, recordFailure, recordStart, statsOf } from './choice.ts'
+export { createFailureFraction, recordRequestEnd, recordStatedFailures, significantFraction } from './failing.ts'
+export type { FailureFraction } from './failing.ts'
 export { createKnownStops } from './known-stops.ts'
 export type { KnownStop, KnownStops } from './known-stops.ts'
 export { recordStatement } from './statements.ts'
--- a/src/core/routing/placement.ts
+++ b/src/core/routing/placement.ts
@@ -28,6 +28,8 @@
   newCalls: number
   /** Time for which the target has ended no call, relative to the longest one that is usual. Above 1 it may stand still. */
   silence: number
+  /** Part of its usual calls that it should get, below 1 where it fails more requests than others of its service. */
+  successPart: number
   statement: Statement | undefined
 }
 
@@ -81,12 +83,12 @@
 export function weighPlaces (places: readonly Place[]): PlaceWeight[] | undefined {
   const meanMs = meanWorkMs(places)
   if (meanMs === undefined) return undefined
-  const known = places.map(({ slots, load, newCalls, silence, statement }) => {
+  const known = places.map(({ slots, load, newCalls, silence, successPart, statement }) => {
     const age = statement?.weight ?? 0
     const room = statement === undefined ? slots : slots + age * (statement.room - slots)
     const workMs = statement === undefined ? meanMs : meanMs + age * (statement.workMs - meanMs)
     const currentLoad = load + newCalls / room
-    return { room, workMs, load: currentLoad, freeRoom: Math.max(0, room * (1 - currentLoad)), rate: room / workMs * freePart(currentLoad) / Math.max(1, silence) ** 2 }
+    return { room, workMs, load: currentLoad, freeRoom: Math.max(0, room * (1 - currentLoad)), rate: successPart * room / workMs * freePart(currentLoad) / Math.max(1, silence) ** 2 }
   })
   const local = known.filter((_, index) => places[index].isLocal)
   const localRoom = sumOf(local.map(({ room }) => room))
