--- a/test/node/attempts.test.ts
+++ b/test/node/attempts.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test'
 import { createReportedFractions } from '../../src/core/admission/index.ts'
 import { systemClock } from '../../src/core/clock/index.ts'
+import type { Clock } from '../../src/core/clock/index.ts'
 import { fail } from '../../src/core/errors/index.ts'
 import { silentLog } from '../../src/core/log/index.ts'
 import type { Member } from '../../src/core/membership/index.ts'
@@ -111,3 +112,25 @@
   assert.deepEqual(await sendRanks([3, 0, 3, 0], true), ['answered', 'answered', 'refused', 'answered'])
   assert.deepEqual(await sendRanks([3, 0, 3, 0], false), ['answered', 'refused', 'refused', 'refused'])
 })
+
+/** Sends 200 calls to four targets, one of which fails all of them and states so. Returns how many it got. */
+async function countAtFailing (roomPlacement: boolean, ownFailures?: number): Promise<number> {
+  let count = 0
+  const forward = async (node: string): Promise<AttemptOutcome> => {
+    if (node !== 'a') return answered
+    count++
+    return { type: 'answered', status: 500, report: { ...emptyReport, ownFailures } }
+  }
+  const clock: Clock = { now: () => 0, date: () => new Date(0) }
+  const environment = { clock, random: createRandom(1), log: silentLog, metrics: createMetrics() }
+  const sender = createSender(['a', 'b', 'c', 'd'], forward, { mayBegin: () => true, roomPlacement, environment })
+  for (let call = 0; call < 200; call++) await sender.send(createCall({}), createBudget(0), {} as Sink)
+  sender.close()
+  return count
+}
+
+test('a target that states its own failures gets hardly any more calls, unless calls are not placed by room', async () => {
+  assert.ok(await countAtFailing(true, 0.9) <= 2)
+  assert.equal(await countAtFailing(false, 0.9), await countAtFailing(false))
+  assert.ok(await countAtFailing(false, 0.9) > 20)
+})
--- a/test/node/call-codec.test.ts
+++ b/test/node/call-codec.test.ts
@@ -58,6 +58,8 @@
 
 test('heads and refusals survive encoding', () => {
   const report = { used: 1, load: 0.5, shed: true, share: 0.25 }
+  const failing = { ...report, room: 7, workMs: 1.5, ownFailures: 0.75 }
+  assert.deepEqual(decodeReply(encodeAndDecode(encodeHead(500, [], failing))), { type: 'head', status: 500, headers: [], report: failing })
   assert.deepEqual(decodeReply(encodeAndDecode(encodeHead(204, ['a', 'b'], report))), { type: 'head', status: 204, headers: ['a', 'b'], report })
   const unanswered = unansweredOf({ type: 'refused', failure: fail('leaving'), elsewhere: true, arrived: false, report })
   const decoded = decodeReply(encodeAndDecode(encodeUnanswered(unanswered)))
--- a/test/node/room-report.test.ts
+++ b/test/node/room-report.test.ts
@@ -14,6 +14,7 @@
 import { createDependencies } from '../../src/core/node/dependencies.ts'
 import { defaultDialect } from '../../src/core/node/dialect.ts'
 import { createGate } from '../../src/core/node/gate.ts'
+import { createOwnFailures } from '../../src/core/node/own-failures.ts'
 import { isRoomChanged } from '../../src/core/node/room-log.ts'
 import { createCallServer } from '../../src/core/node/serve.ts'
 import { createSpans } from '../../src/core/node/spans.ts'
@@ -32,8 +33,8 @@
 const sink: Sink = { head () {}, write: () => true, started: () => false, onDrain () {}, end () {}, abort () {} }
 
 /** Serves `count` calls one after the other by a target that takes 20 ms for each. Returns the reports on them, and the one on a call for another service. */
-async function reportsOf (usesRoom: boolean, count: number): Promise<Report[]> {
-  const server = createServer((_, response) => void pause(20).then(() => response.end('done')))
+async function reportsOf (usesRoom: boolean, count: number, status = 200): Promise<Report[]> {
+  const server = createServer((_, response) => void pause(20).then(() => response.writeHead(status).end('done')))
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
   const origin = `http://127.0.0.1:${(server.address() as AddressInfo).port}`
   const pool = new Pool(origin)
@@ -49,6 +50,7 @@
     spans: createSpans(),
     dependencies: createDependencies(systemClock),
     reportedFractions: createReportedFractions(),
+    ownFailures: usesRoom ? createOwnFailures(systemClock) : undefined,
     decisions: createSilentDecisions(),
     environment: { clock: systemClock, random: createRandom(1), log: silentLog, metrics: createMetrics() }
   })
@@ -74,6 +76,13 @@
   for (const report of await reportsOf(false, 6)) assert.deepEqual(Object.keys(report).filter((name) => name === 'room' || name === 'workMs'), [])
 })
 
+test('reports state the failures of a target that answers 500, and nothing for good answers or where the setting is off', async () => {
+  const [elsewhere, ...failed] = (await reportsOf(true, 8, 500)).reverse()
+  assert.ok((failed[0].ownFailures ?? 0) > 0.5, JSON.stringify(failed[0]))
+  assert.equal(elsewhere.ownFailures, undefined)
+  for (const report of [...await reportsOf(true, 4), ...await reportsOf(false, 8, 500)]) assert.equal('ownFailures' in report, false)
+})
+
 test('a change of room or speed by more than a quarter is logged, a slow start is not', () => {
   const before = { room: 40, speed: 1 }
   assert.equal(isRoomChanged({ room: 37, speed: 0.9, isStarting: false }, before), false)
