Routes whose requests end well while calls fail don't need those calls

Cause: under overload calls come as fast as the service called allows, whatever runs; the estimate then attributes them to a route that runs evenly beside them.

--- a/src/core/node/dependencies.ts
+++ b/src/core/node/dependencies.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../clock/index.ts'
+import { createIndependence } from './independence.ts'
 import type { Random } from '../random/index.ts'
 
 /** Time constant of the decay of all counts, in milliseconds. */
@@ -62,15 +63,18 @@
 /**
  * Callees of each route of the node's own target. Targets do not state for which request they make a call, so each call may
  * belong to any route that is running at that time. The rate of runs of each route at each call separates them: the calls
- * per run of each route are estimated by expectation maximization for a sum of Poisson processes.
+ * per run of each route are estimated by expectation maximization for a sum of Poisson processes. Routes whose requests end
+ * well while calls fail are left out: under overload the estimate alone attributes calls to whatever runs evenly beside them.
  */
 export interface Dependencies {
   /** Records that the node's own target started a request of a route and rank. */
   recordStart: (route: string, rank: number) => void
-  /** Records that the node's own target finished a request of a route and rank. */
-  recordEnd: (route: string, rank: number) => void
+  /** Records that the node's own target finished a request of a route and rank. `hasFailed` is missing for one whose end says nothing, such as a cancelled one. */
+  recordEnd: (route: string, rank: number, hasFailed?: boolean) => void
   /** Records a call of the node's own target. `callee` names the service and the route of the call. */
   recordCall: (callee: string) => void
+  /** Records the end of such a call. */
+  recordCallEnd: (callee: string, hasFailed: boolean) => void
   /** Returns the callees that a route calls regularly. */
   neededCallees: (route: string) => readonly string[]
   /**
@@ -141,6 +145,7 @@
   /** Estimated calls per run by callee, in the order of the routes. */
   const callsPerRunByCallee = new Map<string, number[]>()
   let estimatedAt = -Infinity
+  const independence = createIndependence(clock)
 
   const reset = () => {
     routes.length = 0
@@ -196,7 +201,8 @@
       activity.runningByRank.set(rank, (activity.runningByRank.get(rank) ?? 0) + 1)
       activity.runs++
     },
-    recordEnd (route, rank) {
+    recordEnd (route, rank, hasFailed) {
+      if (hasFailed !== undefined) independence.recordRequestEnd(route, hasFailed)
       const activity = activityOf(route)
       updateActivity(activity)
       activity.running = Math.max(0, activity.running - 1)
@@ -214,14 +220,21 @@
       calls.samples.push({ at: clock.now(), runRates: routes.map(runRateOf), passed: routes.map(({ passed }) => passed) })
       if (calls.samples.length > 2 * maxSamples) calls.samples.splice(0, maxSamples)
     },
+    recordCallEnd: independence.recordCallEnd,
     neededCallees (route) {
       if (clock.now() - estimatedAt >= estimateLifeMs) updateEstimate()
-      return neededByRoute.get(route) ?? []
+      const needed = neededByRoute.get(route) ?? []
+      return needed.filter((callee) => !independence.isIndependent(route, callee))
     },
     drawRank (callee, random) {
       if (clock.now() - estimatedAt >= estimateLifeMs) updateEstimate()
       const callsPerRun = callsPerRunByCallee.get(callee)
-      const drawn = callsPerRun && drawRunningRank(routes, (index) => (callsPerRun[index] ?? 0) * runRateOf(routes[index]) / Math.max(1, routes[index].running), random)
+      const weightOf = (index: number) => {
+        const activity = routes[index]
+        if (independence.isIndependent(activity.route, callee)) return 0
+        return (callsPerRun?.[index] ?? 0) * runRateOf(activity) / Math.max(1, activity.running)
+      }
+      const drawn = callsPerRun && drawRunningRank(routes, weightOf, random)
       return drawn ?? drawRunningRank(routes, () => 1, random)
     }
   }
--- a/src/core/node/entry.ts
+++ b/src/core/node/entry.ts
@@ -11,6 +11,7 @@
 import type { CallerRequest, Dialect } from './dialect.ts'
 import { filters, isCallInProgress, requestTimeoutMs } from './filters.ts'
 import type { Arrival, EntryContext } from './filters.ts'
+import { hasCallFailed } from './own-failures.ts'
 import { createResponseSink } from './sinks.ts'
 import { calleeKey, createCancellation } from './types.ts'
 import type { AttemptOutcome, Call, Sink } from './types.ts'
@@ -83,7 +84,7 @@
 }
 
 /** Sends a call of the node's own target, which knows then that the call is under way and how it ended. */
-async function sendInProgress (call: Call, budget: Budget, sink: Sink, { callSender, gate, ownFailures }: EntryContext): Promise<AttemptOutcome> {
+async function sendInProgress (call: Call, budget: Budget, sink: Sink, { callSender, gate, dependencies, ownFailures }: EntryContext): Promise<AttemptOutcome> {
   const recordEnd = gate.startCall()
   const recordOutcome = ownFailures?.startCall()
   let outcome: AttemptOutcome | undefined
@@ -93,6 +94,7 @@
   } finally {
     recordEnd()
     recordOutcome?.(outcome)
+    dependencies.recordCallEnd(calleeKey(call.context), hasCallFailed(outcome))
   }
 }
 
--- a/src/core/node/outgoing.ts
+++ b/src/core/node/outgoing.ts
@@ -133,6 +133,7 @@
   stopListening()
   if (outcome.report.shed) span.shed = true
   if (hasCallFailed(outcome)) span.hasFailedCall = true
+  context.dependencies.recordCallEnd(calleeKey(outgoingCall.context), hasCallFailed(outcome))
   const askedReturn = context.refusals.askCaller(outgoingCall, outcome)
   context.decisions.endRequest(outgoingCall, { outcome, extraAttempts: 0, startedAt, askedReturn })
   metrics.count(`outgoing_total{outcome="${outcome.type}"}`)
--- a/src/core/node/serve.ts
+++ b/src/core/node/serve.ts
@@ -308,8 +308,10 @@
     }
     const closeRun = (sample: { failed: boolean } | undefined) => {
       running--
-      span.meter?.end(resultOf(sample, status, targetRefused))
-      dependencies.recordEnd(call.context.route, call.context.rank)
+      const result = resultOf(sample, status, targetRefused)
+      span.meter?.end(result)
+      const tellsOfCalls = result === 'good' || result === 'failed'
+      dependencies.recordEnd(call.context.route, call.context.rank, tellsOfCalls ? result === 'failed' : undefined)
       const latencyMs = clock.now() - startedAt - span.outgoingMs
       target.gate.exit(sample && { kind: call.context.route, latencyMs, failed: sample.failed }, call.context.attempt)
       spans.close(span)
--- a/test/node/dependencies.test.ts
+++ b/test/node/dependencies.test.ts
@@ -96,3 +96,14 @@
   dependencies.recordEnd('a', 1)
   assert.equal(dependencies.drawRank('x/1', random), 3)
 })
+
+test('a route whose requests end well while calls fail needs no callee, even if it seems to make them', () => {
+  const dependencies = simulate([{ route: 'posting', perSecond: 60, runMs: 100, calls: [{ callee: 'x/1', count: 1 }] }], 5)
+  assert.deepEqual(dependencies.neededCallees('posting'), ['x/1'])
+  for (let count = 0; count < 40; count++) {
+    dependencies.recordCallEnd('x/1', count % 2 === 0)
+    dependencies.recordStart('posting', 0)
+    dependencies.recordEnd('posting', 0, false)
+  }
+  assert.deepEqual(dependencies.neededCallees('posting'), [])
+})
