What a target refuses itself does not count as demand for its room

Cause: requests that a target turned away hold no slot, but counted as arrivals, and again when their callers sent them anew. In a play with targets that refuse half of all requests, a direct route was turned away at shares of 0.2 to 0.3 beside idle slots. Change: the demand of a target is taken times the fraction that it accepts.

--- a/src/core/shares/allocator.ts
+++ b/src/core/shares/allocator.ts
@@ -154,8 +154,16 @@
   return heldSum <= 0 ? 0 : heldSum / Math.max(1, endedSum)
 }
 
-/** Closes the window of a class: updates the demand that there would be if nothing were refused. */
-function measure (state: ClassState, elapsedMs: number, now: number): void {
+/** Returns the fraction of the requests that the target accepted lately. */
+function acceptedFraction ({ accepted, refused }: Allocator): number {
+  return (accepted + assumedAccepted) / (accepted + refused + assumedAccepted)
+}
+
+/**
+ * Closes the window of a class: updates the demand that there would be if nothing were turned away because of the room. What the target itself refuses
+ * holds no slot, and often comes again at once.
+ */
+function measure (state: ClassState, accepted: number, elapsedMs: number, now: number): void {
   integrate(state, now)
   const decay = Math.exp(-elapsedMs / (state.endedSum < manyEnds ? sparseHoldingMemoryMs : holdingMemoryMs))
   state.heldSum = state.heldSum * decay + state.held
@@ -165,14 +173,13 @@
   const weight = 1 - Math.exp(-elapsedMs / smoothingMs)
   state.arrivalMean += weight * (state.arrived / elapsedMs - state.arrivalMean)
   state.shareMean += weight * (state.recentShares[0] - state.shareMean)
-  state.demand = state.arrivalMean / Math.max(minShare, state.shareMean) * holdingMsOf(state)
+  state.demand = accepted * state.arrivalMean / Math.max(minShare, state.shareMean) * holdingMsOf(state)
   Object.assign(state, { held: 0, arrived: 0, heardShares: 0, ended: 0 })
 }
 
 /** Returns the part of the requests with several calls that the target's own refusals let succeed. */
-function completedFraction ({ accepted, refused }: Allocator): number {
-  const acceptedFraction = (accepted + assumedAccepted) / (accepted + refused + assumedAccepted)
-  return Math.min(1, acceptedFraction / (1 - toleratedRefusalFraction)) ** callsPerRequest
+function completedFraction (allocator: Allocator): number {
+  return Math.min(1, acceptedFraction(allocator) / (1 - toleratedRefusalFraction)) ** callsPerRequest
 }
 
 /** Updates whether more is asked for than a queue takes up. Chance makes demand exceed the room for moments long before it does so in the mean. */
@@ -195,8 +202,9 @@
   if (elapsedMs < windowMs) return
   allocator.windowAt = now
   let backlog = 0
+  const accepted = acceptedFraction(allocator)
   for (const state of allocator.classes.values()) {
-    measure(state, elapsedMs, now)
+    measure(state, accepted, elapsedMs, now)
     backlog += state.waiting * holdingMsOf(state)
     if (state.running + state.waiting === 0 && state.arrivalMean < forgottenBelow) allocator.classes.delete(state.name)
   }
--- a/test/shares/shares.test.ts
+++ b/test/shares/shares.test.ts
@@ -127,3 +127,19 @@
   pruneCredits(credits, 6000)
   assert.equal(credits.size, 0)
 })
+
+test('direct requests that the target refuses and that come again hold no slots, and are not turned away for them', () => {
+  const allocator = createAllocator(0)
+  const direct = { route: 'direct', rank: 1, isInProgress: false }
+  const running: Array<{ endsAt: number, state: ReturnType<typeof recordArrival> }> = []
+  for (let now = 0; now < 6000; now += 10) {
+    for (const { state } of running.filter(({ endsAt }) => endsAt <= now)) recordDeparture(allocator, state, 'ended', 100, now)
+    running.splice(0, running.length, ...running.filter(({ endsAt }) => endsAt > now))
+    const state = recordArrival(allocator, direct, 1, now)
+    recordStart(state, now)
+    if (now % 20 === 0) running.push({ endsAt: now + 100, state })
+    else recordDeparture(allocator, state, 'refused', 0, now)
+    updateAllocator(allocator, 8, now)
+  }
+  assert.equal(ownShareOf(allocator, direct), 1)
+})
