Options of a gate are named

createGate took three booleans in a row, which no reader can tell apart. They are GateOptions now, all off by default.

--- a/src/core/node/gate.ts
+++ b/src/core/node/gate.ts
@@ -55,11 +55,18 @@
   close: () => void
 }
 
-/**
- * Creates the gate of a target with `slots`. An adaptive limit may stay below the slots. With `isRanked`, requests wait by the rank of their caller's
- * request; with `usesRoom`, the load counts by the room that is found out.
- */
-export function createGate (slots: number, clock: Clock, isAdaptive: boolean, isRanked = false, usesRoom = false): Gate {
+/** Options of a gate. All are off by default. */
+export interface GateOptions {
+  /** Whether the limit adapts below the slots. */
+  isAdaptive?: boolean
+  /** Whether requests wait by the rank of the caller's request that they belong to. */
+  isRanked?: boolean
+  /** Whether the room of the target is found out, and the load counts by it. */
+  usesRoom?: boolean
+}
+
+/** Creates the gate of a target with `slots`. */
+export function createGate (slots: number, clock: Clock, { isAdaptive = false, isRanked = false, usesRoom = false }: GateOptions = {}): Gate {
   const meter = usesRoom ? createRoomMeter(slots, clock) : undefined
   let admission: Admission = createAdmission(slots, clock.now(), isAdaptive, isRanked)
   const newRequestFraction = createAdmissionFraction(clock.now())
--- a/src/core/node/target.ts
+++ b/src/core/node/target.ts
@@ -113,7 +113,7 @@
 
 /** Creates the state of a target that has not announced itself yet. */
 export function createOwnTarget (peers: Peers, { clock, log }: Environment, options: OwnTargetOptions): OwnTarget {
-  const gate = createGate(1, clock, options.adaptiveLimit, options.rankedWaiting, options.usesRoom)
+  const gate = createGate(1, clock, { isAdaptive: options.adaptiveLimit, isRanked: options.rankedWaiting, usesRoom: options.usesRoom })
   const order = createAnnouncementOrder(announcementLifeMs)
   let target: Target | undefined
   let lastAnnouncement: Announcement | undefined
--- a/test/node/gate.test.ts
+++ b/test/node/gate.test.ts
@@ -7,7 +7,7 @@
 const entry = (id: string) => ({ id, kind: 'r', priority: -1, workspace: 'w', weight: 1, arrivedAt: now, deadlineAt: now + 5000 })
 
 test('a call that waits for its turn when a stop ends is refused as not run, not given up', async () => {
-  const gate = createGate(1, systemClock, false)
+  const gate = createGate(1, systemClock)
   assert.deepEqual(await gate.enter(entry('running')), { type: 'started' })
   const waiting = gate.enter(entry('waiting'))
   assert.equal(gate.removeWaiting(), 1)
@@ -20,7 +20,7 @@
 /** Creates a gate on a clock that the test moves. */
 function createMovedGate (usesRoom: boolean) {
   const time = { now: 0 }
-  return { time, gate: createGate(10, { now: () => time.now, date: () => new Date() }, false, false, usesRoom) }
+  return { time, gate: createGate(10, { now: () => time.now, date: () => new Date() }, { usesRoom }) }
 }
 
 test('load counts by the room, which is half of the slots just after a start', async () => {
--- a/test/node/ranked-gate.test.ts
+++ b/test/node/ranked-gate.test.ts
@@ -18,7 +18,7 @@
 }
 
 test('requests that wait for their calls leave slots to those that need the target only, until they end', async () => {
-  const gate = createGate(slots, clock, false, true)
+  const gate = createGate(slots, clock, { isRanked: true })
   await enterAndEnd(gate, 3)
   for (let count = 0; count < 17; count++) {
     assert.deepEqual(enter(gate, `holder ${count}`, true), { type: 'started' })
@@ -37,7 +37,7 @@
 })
 
 test('slots held by waiting requests are still known after another process of the target has started', () => {
-  const gate = createGate(slots, clock, false, true)
+  const gate = createGate(slots, clock, { isRanked: true })
   for (let count = 0; count < 4; count++) void enter(gate, `holder ${count}`, true)
   for (let count = 0; count < 4; count++) gate.callStarted()
   gate.reset(slots)
@@ -50,7 +50,7 @@
 
 test('slots stay reserved only while requests come that can use them', async () => {
   now = 0
-  const gate = createGate(slots, clock, false, true)
+  const gate = createGate(slots, clock, { isRanked: true })
   await enterAndEnd(gate, 1)
   for (let count = 0; count < 17; count++) {
     void enter(gate, `holder ${count}`, true)
@@ -67,7 +67,7 @@
 
 test('new requests are not refused for calls in progress of a higher rank, nor for calls that are kept out of reserved slots', () => {
   now = 0
-  const gate = createGate(slots, clock, false, true)
+  const gate = createGate(slots, clock, { isRanked: true })
   const classes = [{ rank: 0, needsCalls: false }, { rank: 2, needsCalls: false }, { rank: 2, needsCalls: true }]
   const fractions = () => classes.map(({ rank, needsCalls }) => gate.admissionFraction(rank, needsCalls))
   assert.deepEqual(fractions(), [1, 1, 1])
@@ -88,7 +88,7 @@
 })
 
 test('a gate without ranks neither counts nor reserves', () => {
-  const gate = createGate(slots, clock, false)
+  const gate = createGate(slots, clock)
   for (let count = 0; count < slots; count++) {
     assert.deepEqual(enter(gate, `holder ${count}`, true), { type: 'started' })
     gate.callStarted()
--- a/test/node/raw-path.ts
+++ b/test/node/raw-path.ts
@@ -122,7 +122,7 @@
   })
   const origin = `http://127.0.0.1:${await listenAnywhere(raw)}`
   const pool = new Pool(origin, { connections: 1, pipelining: 1, connect: createConnector(1000) })
-  const gate = createGate(8, clock, false)
+  const gate = createGate(8, clock)
   const target = createRawTarget(pool, gate, origin)
   const peerServer = createHttpServer()
   const peers = {
--- a/test/node/room-report.test.ts
+++ b/test/node/room-report.test.ts
@@ -38,7 +38,7 @@
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
   const origin = `http://127.0.0.1:${(server.address() as AddressInfo).port}`
   const pool = new Pool(origin)
-  const gate = createGate(8, systemClock, false, false, usesRoom)
+  const gate = createGate(8, systemClock, { usesRoom })
   const callServer = createCallServer({
     dialect: defaultDialect,
     findKeyFailure: () => undefined,
--- a/test/node/serve.test.ts
+++ b/test/node/serve.test.ts
@@ -121,7 +121,7 @@
     callback(...result)
   })
   const pool = new Pool(origin, { connections: 1, pipelining: 1, connect })
-  const gate = createGate(8, systemClock, true, true)
+  const gate = createGate(8, systemClock, { isAdaptive: true, isRanked: true })
   const target = createRawTarget(pool, gate, origin)
   const peers = { freshness: createFreshness(), configuration: emptyConfiguration } as unknown as Peers
   const environment = { clock: systemClock, random: createRandom(1), log, metrics: createMetrics() }
