A target is chosen also when all are loaded far beyond their room

Cause: the free part of a room falls exponentially with the load and rounds to 0 from about 187 rooms of load on, as with 400 calls under way to a target of one slot. Where that held for all targets, weights were 0 / 0, no target was chosen, and the call was refused as if there were none. Change: parts are relative to the least loaded target. The choice at lower loads is unchanged.

--- a/src/core/routing/placement.ts
+++ b/src/core/routing/placement.ts
@@ -56,8 +56,9 @@
   return weights > 0 ? sum / weights : undefined
 }
 
-function freePart (load: number): number {
-  return load <= steadyLoad ? 1 - load : free * Math.exp((steadyLoad - load) / free)
+/** Returns the free part of a room relative to the one of the least loaded target: with none below the steady load, all parts would round to 0 at high loads. */
+function freePart (load: number, leastLoad: number): number {
+  return load <= steadyLoad ? 1 - load : free * Math.exp((Math.max(steadyLoad, leastLoad) - load) / free)
 }
 
 /** Returns how far `value` is from `from` to `until`, 0 to 1, with a smooth start and end. */
@@ -83,12 +84,17 @@
 export function weighPlaces (places: readonly Place[]): PlaceWeight[] | undefined {
   const meanMs = meanWorkMs(places)
   if (meanMs === undefined) return undefined
-  const known = places.map(({ slots, load, newCalls, silence, successPart, statement }) => {
+  const loaded = places.map(({ slots, load, newCalls, statement }) => {
     const age = statement?.weight ?? 0
     const room = statement === undefined ? slots : slots + age * (statement.room - slots)
     const workMs = statement === undefined ? meanMs : meanMs + age * (statement.workMs - meanMs)
     const currentLoad = load + newCalls / room
-    return { room, workMs, load: currentLoad, freeRoom: Math.max(0, room * (1 - currentLoad)), rate: successPart * room / workMs * freePart(currentLoad) / Math.max(1, silence) ** 2 }
+    return { room, workMs, load: currentLoad, freeRoom: Math.max(0, room * (1 - currentLoad)) }
+  })
+  const leastLoad = loaded.reduce((least, { load }) => Math.min(least, load), Infinity)
+  const known = loaded.map((place, index) => {
+    const { silence, successPart } = places[index]
+    return { ...place, rate: successPart * place.room / place.workMs * freePart(place.load, leastLoad) / Math.max(1, silence) ** 2 }
   })
   const local = known.filter((_, index) => places[index].isLocal)
   const localRoom = sumOf(local.map(({ room }) => room))
@@ -98,7 +104,7 @@
   const localRate = sumOf(rates.filter((_, index) => places[index].isLocal))
   const totalRate = sumOf(rates)
   return known.map(({ room, workMs, load, freeRoom }, index) => {
-    const staying = places[index].isLocal ? (1 - leaving) * rates[index] / localRate : 0
+    const staying = leaving < 1 && places[index].isLocal ? (1 - leaving) * rates[index] / localRate : 0
     return { room, workMs, load, freeRoom, weight: staying + leaving * rates[index] / totalRate }
   })
 }
--- a/test/routing/placement.test.ts
+++ b/test/routing/placement.test.ts
@@ -209,3 +209,26 @@
   runFleet(fleet, () => 1.5 * roomPerMs, 3000, 2500, (now) => now < joinsAt ? fleet.slice(0, 2) : fleet)
   for (const { loadMs } of fleet) assertClose(loadMs / 500, 0.5, 0.1)
 })
+
+test('a target is still chosen when all are loaded far beyond their room', () => {
+  const statsByNode = createTargetStats()
+  const candidates = [candidate('near-1', 1), candidate('near-2', 1)]
+  for (const { node } of candidates) {
+    state(statsByNode, node, { room: 1 }, 0)
+    for (let count = 0; count < 400; count++) recordStart(statsOf(statsByNode, node), 0)
+  }
+  const parts = choose(statsByNode, candidates)
+  assertClose(parts['near-1'], 0.5, 0.03)
+  assertClose(parts['near-2'], 0.5, 0.03)
+  assert.deepEqual(choose(statsByNode, candidates.slice(0, 1)), { 'near-1': 1 })
+})
+
+test('a target that overflows is preferred to one that overflows more, however far', () => {
+  const statsByNode = createTargetStats()
+  const counts: Record<string, number> = { 'near-1': 300, 'near-2': 500 }
+  for (const [node, count] of Object.entries(counts)) {
+    state(statsByNode, node, { room: 1 }, 0)
+    for (let started = 0; started < count; started++) recordStart(statsOf(statsByNode, node), 0)
+  }
+  assert.equal(choose(statsByNode, Object.keys(counts).map((node) => candidate(node, 1)))['near-1'], 1)
+})
