Explaining where a request would go takes no probe of a failing target

Cause: the explanation drew choices with the function that also hands out probes, on statistics that it shares with the calls. Asking took the probe that was due away, so that a failing target was found to have recovered later, and a target in probes was shown with a part of 0.5%. Change: draws choose without probes; such targets are shown with no part and their reason, and isFailing in the JSON. A test that failed before asks when a probe is due, and sees the next call take it.

--- a/src/core/node/inspection.ts
+++ b/src/core/node/inspection.ts
@@ -1,4 +1,4 @@
-import { chooseTarget, explainChoice } from '../routing/index.ts'
+import { chooseWithoutProbe, explainChoice, failingNodes } from '../routing/index.ts'
 import type { Candidate, ChoiceExplanation, TargetStats, TargetStatsMap } from '../routing/index.ts'
 import type { KnownTarget, TargetView } from '../where/index.ts'
 import { nextEndpoints } from './endpoints.ts'
@@ -15,14 +15,21 @@
   deadlineAt: number
 }
 
+/** Nodes whose targets may be chosen, and those of them that get probes only. */
+interface TargetSets {
+  usable: ReadonlySet<string>
+  failing: ReadonlySet<string>
+}
+
 /** Returns what is known of a target, without creating statistics for it. */
-function describeTarget ({ node, domain, slots }: Endpoint, state: KnownTarget['state'], usable: ReadonlySet<string>, stats: TargetStats | undefined, now: number): KnownTarget {
+function describeTarget ({ node, domain, slots }: Endpoint, state: KnownTarget['state'], { usable, failing }: TargetSets, stats: TargetStats | undefined, now: number): KnownTarget {
   const isKnown = stats !== undefined && stats.loadAt > 0
   return {
     node,
     domain,
     state,
     isUsable: usable.has(node),
+    isFailing: failing.has(node),
     slots,
     inFlight: stats?.inFlight ?? 0,
     ...(isKnown ? { load: stats.load, loadAgeMs: now - stats.loadAt, latencyMs: stats.latencyMs } : {}),
@@ -39,8 +46,8 @@
 /** Shows the targets of a service as the sending side sees them, and changes nothing. */
 export function inspectTargets ({ endpoints, statsByNode, ownDomain, callee, deadlineAt }: SendingView, now: number): TargetView {
   const candidates: readonly Candidate[] = nextEndpoints(endpoints, { tried: new Set(), refusedBy: new Set(), deadlineAt })
-  const usable = new Set(candidates.map(({ node }) => node))
-  const describe = (state: KnownTarget['state']) => (endpoint: Endpoint) => describeTarget(endpoint, state, usable, statsByNode.get(endpoint.node), now)
+  const sets = { usable: new Set(candidates.map(({ node }) => node)), failing: failingNodes(statsByNode, candidates, now) }
+  const describe = (state: KnownTarget['state']) => (endpoint: Endpoint) => describeTarget(endpoint, state, sets, statsByNode.get(endpoint.node), now)
   // A choice adds empty statistics of targets that are not known yet.
   const copy = new Map(statsByNode)
   const places = callee === undefined ? undefined : explainChoice(statsByNode, candidates, ownDomain, callee, now)
@@ -48,6 +55,6 @@
   return {
     targets: targets.map((target) => ({ ...target, ...statedBy(places, target) })),
     ownDomain,
-    choose: (random) => chooseTarget(copy, candidates, ownDomain, now, random, callee)?.node
+    choose: (random) => chooseWithoutProbe(copy, candidates, ownDomain, now, random, callee)?.node
   }
 }
--- a/src/core/routing/choice.ts
+++ b/src/core/routing/choice.ts
@@ -264,9 +264,24 @@
   statsByNode: TargetStatsMap, candidates: readonly Candidate[], ownDomain: string, now: number, random: Random, callee?: string
 ): Candidate | undefined {
   const choice = findChoice(statsByNode, candidates, now)
-  const probed = takeProbe(statsByNode, choice, ownDomain, now)
-  if (probed !== undefined) return probed
-  const { candidates: available, successParts } = choice
+  return takeProbe(statsByNode, choice, ownDomain, now) ?? chooseOf(statsByNode, choice, ownDomain, now, random, callee)
+}
+
+/** Chooses a target as `chooseTarget` does, but sends no probe to one that fails requests, and changes nothing but that it creates statistics of new targets. */
+export function chooseWithoutProbe (
+  statsByNode: TargetStatsMap, candidates: readonly Candidate[], ownDomain: string, now: number, random: Random, callee?: string
+): Candidate | undefined {
+  return chooseOf(statsByNode, findChoice(statsByNode, candidates, now), ownDomain, now, random, callee)
+}
+
+/** Returns the nodes whose targets get probes only, as they fail most requests. */
+export function failingNodes (statsByNode: TargetStatsMap, candidates: readonly Candidate[], now: number): ReadonlySet<string> {
+  return new Set(findChoice(statsByNode, candidates, now).failing.map(({ node }) => node))
+}
+
+function chooseOf (
+  statsByNode: TargetStatsMap, { candidates: available, successParts }: Choice, ownDomain: string, now: number, random: Random, callee: string | undefined
+): Candidate | undefined {
   const weights = callee === undefined ? undefined : weighCandidates(statsByNode, available, successParts, ownDomain, callee, now)
   if (weights !== undefined) return pickByWeight(available, weights, random)
   const local = available.filter((candidate) => candidate.domain === ownDomain)
--- a/src/core/where/targets.ts
+++ b/src/core/where/targets.ts
@@ -15,6 +15,8 @@
   state: 'stays' | 'leaves'
   /** False for one that leaves too early for the request, while others stay. */
   isUsable: boolean
+  /** True for one that fails most requests by its own fault and gets probes only. */
+  isFailing: boolean
   slots: number
   /** Requests that the target works on well at once, as its node states. */
   room?: number
@@ -52,10 +54,11 @@
 }
 
 function reasonOf (target: KnownTarget, part: number, ownDomain: string): string {
-  const { isUsable, ejectedForMs, domain } = target
+  const { isUsable, isFailing, ejectedForMs, domain } = target
   if (part > 0) return `${Math.round(100 * part)}% of such requests: ${domain === ownDomain ? 'own failure domain' : 'other failure domain'}, ${describe(target)}`
   if (!isUsable) return 'leaves, and others stay or leave later'
   if (ejectedForMs > 0) return `left out for ${Math.round(ejectedForMs)} ms after failures in a row`
+  if (isFailing) return 'fails requests by its own fault, and gets single ones that show whether it still does'
   return domain === ownDomain ? `others are preferred: ${describe(target)}` : 'in another failure domain, while the own one has room'
 }
 
--- a/test/where/where.test.ts
+++ b/test/where/where.test.ts
@@ -224,3 +224,20 @@
   inDeployment.explainFor('/p/1', { host: 'a.example', workspace: 'w' })
   assert.equal(inDeployment.drawn(), 0)
 })
+
+test('explaining takes no probe of a failing target away', async () => {
+  const sentTo: string[] = []
+  const outcomeOf = (node: string): AttemptOutcome => {
+    sentTo.push(node)
+    return { ...answered, report: { ...answered.report, share: 1, ...(node === 'a' ? { ownFailures: 1 } : {}) } }
+  }
+  const node = createNode({ members: [member('a', 'd'), member('b', 'd')], outcomeOf })
+  while (!sentTo.includes('a')) await node.send(1)
+  node.clock.time += 1500
+  const [{ targets, goesTo }] = node.explainFor('/trays/17', { workspace: 'w' }).services
+  assert.equal(goesTo, 'b')
+  assert.deepEqual(targets.map(({ node: target, part }) => [target, part]), [['b', 1], ['a', 0]])
+  assert.match(targets[1].reason, /fails requests/)
+  await node.send(1)
+  assert.equal(sentTo.at(-1), 'a')
+})
