--- a/src/core/routing/placement.ts
+++ b/src/core/routing/placement.ts
@@ -84,23 +84,23 @@
 export function weighPlaces (places: readonly Place[]): PlaceWeight[] | undefined {
   const meanMs = meanWorkMs(places)
   if (meanMs === undefined) return undefined
-  const loaded = places.map(({ slots, load, newCalls, statement }) => {
+  const known = places.map(({ slots, load, newCalls, statement }) => {
     const age = statement?.weight ?? 0
     const room = statement === undefined ? slots : slots + age * (statement.room - slots)
     const workMs = statement === undefined ? meanMs : meanMs + age * (statement.workMs - meanMs)
     const currentLoad = load + newCalls / room
     return { room, workMs, load: currentLoad, freeRoom: Math.max(0, room * (1 - currentLoad)) }
   })
-  const leastLoad = loaded.reduce((least, { load }) => Math.min(least, load), Infinity)
-  const known = loaded.map((place, index) => {
-    const { silence, successPart } = places[index]
-    return { ...place, rate: successPart * place.room / place.workMs * freePart(place.load, leastLoad) / Math.max(1, silence) ** 2 }
-  })
+  const leastLoad = known.reduce((least, { load }) => Math.min(least, load), Infinity)
   const local = known.filter((_, index) => places[index].isLocal)
   const localRoom = sumOf(local.map(({ room }) => room))
   const domainLoad = localRoom > 0 ? sumOf(local.map(({ room, load }) => room * load)) / localRoom : Infinity
   const leaving = localRoom > 0 ? leavingPart(domainLoad, meanMs) : 1
-  const rates = known.map(({ rate, load }, index) => places[index].isLocal ? rate : rate * Math.max(0, Math.min(1, (domainLoad - load) / fullLead)))
+  const rates = known.map(({ room, workMs, load }, index) => {
+    const { isLocal, silence, successPart } = places[index]
+    const rate = successPart * room / workMs * freePart(load, leastLoad) / Math.max(1, silence) ** 2
+    return isLocal ? rate : rate * Math.max(0, Math.min(1, (domainLoad - load) / fullLead))
+  })
   const localRate = sumOf(rates.filter((_, index) => places[index].isLocal))
   const totalRate = sumOf(rates)
   return known.map(({ room, workMs, load, freeRoom }, index) => {
