Held connections go on 8 in a turn; an idle connection keeps no request

Resuming a connection only schedules its reading, so the slice of 5 ms bounded nothing. The newest request stayed in memory while its connection was idle.

--- a/src/core/http/clients.ts
+++ b/src/core/http/clients.ts
@@ -15,8 +15,8 @@
 /** Time between two checks of the answers that were not taken, in milliseconds. */
 const checkIntervalMs = 100
 
-/** Time for which held connections are read before the event loop turns again, in milliseconds. */
-const sliceMs = 5
+/** Held connections that go on in one turn of the event loop. */
+const resumedPerTurn = 8
 
 /** Time without reaching a bound after which it counts as no longer reached, in milliseconds. */
 const reliefMs = 10_000
@@ -47,6 +47,7 @@
 interface Connection extends Holding {
   socket: Socket
   responses: Set<ServerResponse>
+  /** Response to the newest request, unless both are complete. */
   newest: ServerResponse | undefined
   /** Requests that may be read and not answered. */
   maxRequests: number
@@ -188,10 +189,10 @@
     isTurning = true
     setImmediate(() => {
       isTurning = false
-      const startedAt = clock.now()
+      let resumed = 0
       for (const connection of [...held]) {
-        if (clock.now() - startedAt >= sliceMs) return wakeHeld()
         if (mayRead(connection) === 0) continue
+        if (resumed++ === resumedPerTurn) return wakeHeld()
         held.delete(connection)
         connection.resume()
       }
@@ -210,6 +211,7 @@
       if (!connection.responses.delete(response)) return
       connection.requests--
       totalRequests--
+      if (connection.newest === response && response.req.complete) connection.newest = undefined // An idle connection keeps no request.
       wakeHeld()
     })
   }
