Statements on calls of requests in progress no longer count for direct requests

An allocator gives direct requests and calls of requests in progress shares of their own, but a node that sends both to one route kept what it heard of them under one key, so that each kind was begun and reckoned by the mean of both. Statements are now kept apart by the same test as the classes of the target. New test: with 0.9 stated for direct requests and 0.25 for calls, a node hears 0.9 and 0.25. It failed before. Tests of shares, room shares and attempts pass.

--- a/src/core/node/attempts.ts
+++ b/src/core/node/attempts.ts
@@ -132,7 +132,7 @@
     return outcome
   }
   /** Returns the share of the callee's room for calls like this one; 1 where shares are off. */
-  const shareOf = (callContext: CallContext): number => roomShares?.shareOf(calleeKey(callContext), callContext.rank) ?? 1
+  const shareOf = (callContext: CallContext): number => roomShares?.shareFor(callContext) ?? 1
   /** Records the share or admission fraction that the node of a target stated. */
   const recordShare = (callContext: CallContext, outcome: AttemptOutcome, node: string) => {
     const { report } = outcome
--- a/src/core/node/room-shares.ts
+++ b/src/core/node/room-shares.ts
@@ -31,15 +31,26 @@
   stateShare: (context: CallContext, neededCallees: readonly string[]) => number
   /** Records what a target's node stated with the end of a call. A report without a share comes from no node. */
   recordReport: (context: CallContext, node: string, report: Report) => void
-  /** Returns the share that targets have stated for a callee ("service/route") and rank; 1 when there is room for all. */
+  /** Returns the share that targets have stated for direct requests of a callee ("service/route") and rank; 1 when there is room for all. */
   shareOf: (callee: string, rank: number) => number
+  /** Returns the share that targets have stated for calls like this one; 1 when there is room for all. */
+  shareFor: (context: CallContext) => number
   /** Returns true when a new request of a caller is begun. */
   mayBegin: (call: Call, share: number) => boolean
   close: () => void
 }
 
-function requestClassOf ({ route, rank, priority, depth }: CallContext): RequestClass {
-  return { route, rank, isInProgress: priority <= inProgressPriority || depth > 0 }
+function isOfRequestInProgress ({ priority, depth }: CallContext): boolean {
+  return priority <= inProgressPriority || depth > 0
+}
+
+function requestClassOf (context: CallContext): RequestClass {
+  return { route: context.route, rank: context.rank, isInProgress: isOfRequestInProgress(context) }
+}
+
+/** Returns the key of the statements on a callee. Targets give direct requests and calls of requests in progress shares of their own. */
+function statementKey (callee: string, isInProgress: boolean): string {
+  return isInProgress ? `${callee} in progress` : callee
 }
 
 function departureOf (outcome: AttemptOutcome | undefined): Departure {
@@ -96,7 +107,7 @@
     if (allocator.isShort) exposeShares()
     logState()
   }
-  const shareOf = (callee: string, rank: number) => statedShareOf(statements, callee, rank, clock.now())
+  const statedShare = (callee: string, rank: number, isInProgress: boolean) => statedShareOf(statements, statementKey(callee, isInProgress), rank, clock.now())
   return {
     enter (context) {
       update()
@@ -119,13 +130,16 @@
     stateShare (context, neededCallees) {
       update()
       let share = ownShareOf(allocator, requestClassOf(context))
-      for (const callee of neededCallees) share = Math.min(share, shareOf(callee, context.rank))
+      for (const callee of neededCallees) share = Math.min(share, statedShare(callee, context.rank, true))
       return Math.round(1000 * share) / 1000
     },
     recordReport (context, node, { share, room: targetRoom }) {
-      if (share !== undefined) recordStatement(statements, { callee: calleeKey(context), rank: context.rank, node }, { share, room: targetRoom }, clock.now())
+      if (share === undefined) return
+      const callee = statementKey(calleeKey(context), isOfRequestInProgress(context))
+      recordStatement(statements, { callee, rank: context.rank, node }, { share, room: targetRoom }, clock.now())
     },
-    shareOf,
+    shareOf: (callee, rank) => statedShare(callee, rank, false),
+    shareFor: (context) => statedShare(calleeKey(context), context.rank, isOfRequestInProgress(context)),
     mayBegin ({ context, isExpectedRetry }, share) {
       const { rank, workspace, weight } = context
       const newRequest = { key: `${calleeKey(context)}/${rank}`, workspace: workspace ?? '', weight, isExpectedRetry: isExpectedRetry === true }
--- a/test/node/room-shares.test.ts
+++ b/test/node/room-shares.test.ts
@@ -77,6 +77,20 @@
   shares.close()
 })
 
+test('what is stated for calls of requests in progress does not count for direct requests to the same route', () => {
+  const { environment } = createEnvironment()
+  const shares = createRoomShares(() => 10, environment)
+  const direct = contextOf('b', { priority: 1 })
+  shares.recordReport(contextOf('a'), 'n1', report)
+  shares.recordReport(direct, 'n1', { ...report, share: 0.9 })
+  assert.equal(shares.shareOf('s/r', 1), 0.9)
+  assert.equal(shares.shareFor(direct), 0.9)
+  assert.equal(shares.shareFor(contextOf('c')), 0.25)
+  assert.equal(shares.shareFor(contextOf('c', { priority: 1, depth: 1 })), 0.25)
+  assert.equal(shares.stateShare(contextOf('x'), ['s/r']), 0.25)
+  shares.close()
+})
+
 test('calls that never entered or left twice do not count', () => {
   const { time, environment } = createEnvironment()
   const shares = createRoomShares(() => 1, environment)
