Statements on routes that nobody calls any more are dropped

They were dropped only when their share was asked for, so that each route that a change of the configuration renamed or removed while it was short was kept for ever. New test: of 500 such routes none is left 10 s later; it fails without the loop.

--- a/src/core/node/room-shares.ts
+++ b/src/core/node/room-shares.ts
@@ -1,4 +1,4 @@
-import { createCredits, createAllocator, createStatements, mayBegin, ownShareOf, pruneCredits, recordArrival, recordDeparture, recordStart, recordStatement, reportedCalmMs, reportedShare, statedShareOf, updateAllocator } from '../shares/index.ts'
+import { createCredits, createAllocator, createStatements, mayBegin, ownShareOf, pruneCredits, pruneStatements, recordArrival, recordDeparture, recordStart, recordStatement, reportedCalmMs, reportedShare, statedShareOf, updateAllocator } from '../shares/index.ts'
 import type { RequestClass, ClassState, Allocator, Departure } from '../shares/index.ts'
 import type { Environment } from '../peers/index.ts'
 import { inProgressPriority } from './constants.ts'
@@ -99,7 +99,10 @@
   const held = new Map<string, Held>()
   const exposeShares = createExposure(allocator, environment)
   const logState = createStateLog(allocator, environment)
-  const timer = setInterval(() => pruneCredits(credits, clock.now()), pruneEveryMs)
+  const timer = setInterval(() => {
+    pruneCredits(credits, clock.now())
+    pruneStatements(statements, clock.now())
+  }, pruneEveryMs)
   const update = () => {
     const { windowAt } = allocator
     updateAllocator(allocator, room(), clock.now())
--- a/src/core/shares/statements.ts
+++ b/src/core/shares/statements.ts
@@ -79,3 +79,8 @@
   if (share >= 1 && [...ranks.values()].every((others) => shareOfNodes(others, now) >= 1)) known.delete(callee)
   return share
 }
+
+/** Drops what was stated on callees for which there is room by now, also where nobody asks for their share any more, as after a change of the configuration. */
+export function pruneStatements (known: Statements, now: number): void {
+  for (const [callee, ranks] of known) for (const rank of ranks.keys()) statedShareOf(known, callee, rank, now)
+}
--- a/test/shares/shares.test.ts
+++ b/test/shares/shares.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { createRandom } from '../../src/core/random/index.ts'
-import { createCredits, createAllocator, createStatements, divideRoom, mayBegin, ownShareOf, pruneCredits, recordArrival, recordDeparture, recordStart, recordStatement, statedShareOf, updateAllocator } from '../../src/core/shares/index.ts'
+import { createCredits, createAllocator, createStatements, divideRoom, mayBegin, ownShareOf, pruneCredits, pruneStatements, recordArrival, recordDeparture, recordStart, recordStatement, statedShareOf, updateAllocator } from '../../src/core/shares/index.ts'
 
 const inProgress = { route: 'last', rank: 1, isInProgress: true }
 
@@ -86,6 +86,14 @@
   assert.equal(statedShareOf(known, 's/r', 2, 0), 0.3)
 })
 
+test('statements on routes that nobody calls any more are dropped', () => {
+  const known = createStatements()
+  for (let route = 0; route < 500; route++) recordStatement(known, { callee: `s/r${route}`, rank: 1, node: 'n' }, { share: 0.1, room: 10 }, 0)
+  recordStatement(known, { callee: 's/now', rank: 1, node: 'n' }, { share: 0.1, room: 10 }, 9000)
+  pruneStatements(known, 10_000)
+  assert.deepEqual([...known.keys()], ['s/now'])
+})
+
 /** Asks `count` times and returns how many requests are begun. */
 function countBegun (count: number, share: number, stepMs: number, workspaceOf: (index: number) => string, isRetry: (index: number) => boolean = () => false): number[] {
   const credits = createCredits()
