An estimate of callees takes bounded time, and callees without calls are dropped

With 64 routes and 25 callees, estimates took 650 to 770 ms every 2 s, in which the node did nothing else; callees that were no longer called stayed for ever. The new test fails without this. How well 50 samples a callee tell 64 routes apart is not measured.

--- a/src/core/node/dependencies.ts
+++ b/src/core/node/dependencies.ts
@@ -13,6 +13,12 @@
 /** Iterations of an estimate. */
 const iterations = 50
 
+/** Most samples times routes in one iteration over all callees, so that an estimate holds up no requests. With more, samples are left out evenly. */
+const maxTerms = 80_000
+
+/** Fewest samples per callee that are used. */
+const minUsedSamples = 50
+
 /** Smallest value with which an estimate begins, as a fraction of the highest. An estimate that begins with 0 stays at 0. */
 const minFirstEstimate = 0.02
 
@@ -94,20 +100,22 @@
  * wait for their calls. The estimate begins with the one before, because the samples of a short time don't tell routes apart that mostly
  * run at the same time.
  */
-function estimateCallsPerRun (samples: readonly Sample[], routes: readonly RouteActivity[], before: readonly number[]): number[] {
+function estimateCallsPerRun (samples: readonly Sample[], maxUsed: number, routes: readonly RouteActivity[], before: readonly number[]): number[] {
   const [first] = samples
+  const step = Math.ceil(samples.length / maxUsed)
   const runs = routes.map(({ passed }, index) => Math.max(1, passed - (first?.passed[index] ?? 0)))
   const lowest = Math.max(...before, 0) * minFirstEstimate || 1
   let callsPerRun = routes.map((_, index) => Math.max(lowest, before[index] ?? 0))
   for (let iteration = 0; iteration < iterations; iteration++) {
     const attributed = routes.map(() => 0)
-    for (const { runRates } of samples) {
+    for (let position = 0; position < samples.length; position += step) {
+      const { runRates } = samples[position]
       let sum = 0
       for (let index = 0; index < runRates.length; index++) sum += callsPerRun[index] * runRates[index]
       if (sum === 0) continue
       for (let index = 0; index < runRates.length; index++) attributed[index] += callsPerRun[index] * runRates[index] / sum
     }
-    callsPerRun = attributed.map((count, index) => count / runs[index])
+    callsPerRun = attributed.map((count, index) => step * count / runs[index])
   }
   return callsPerRun
 }
@@ -179,11 +187,17 @@
     neededByRoute = new Map(routes.map(({ route }) => [route, []]))
     routes.forEach(updateActivity)
     const runs = routes.reduce((sum, activity) => sum + activity.runs, 0)
+    const maxUsed = Math.max(minUsedSamples, Math.floor(maxTerms / Math.max(1, routes.length * callees.size)))
     for (const [callee, calls] of callees) {
       updateCalls(calls)
       const threshold = Math.max(neededCalls, neededFraction * calls.count / Math.max(1, runs))
       dropOld(calls)
-      const callsPerRun = estimateCallsPerRun(calls.samples, routes, callsPerRunByCallee.get(callee) ?? [])
+      if (calls.samples.length === 0) {
+        callees.delete(callee)
+        callsPerRunByCallee.delete(callee)
+        continue
+      }
+      const callsPerRun = estimateCallsPerRun(calls.samples, maxUsed, routes, callsPerRunByCallee.get(callee) ?? [])
       callsPerRunByCallee.set(callee, callsPerRun)
       for (const [index, estimate] of callsPerRun.entries()) if (estimate >= threshold) neededByRoute.get(routes[index].route)?.push(callee)
     }
--- a/test/node/dependencies.test.ts
+++ b/test/node/dependencies.test.ts
@@ -96,3 +96,20 @@
   dependencies.recordEnd('a', 1)
   assert.equal(dependencies.drawRank('x/1', random), 3)
 })
+
+test('an estimate over many routes and callees holds up no requests for long', () => {
+  let now = 0
+  const dependencies = createDependencies({ now: () => now, date: () => new Date(now) })
+  for (let step = 0; step < 2000; step++) {
+    now += 5
+    dependencies.recordStart(`r${step % 64}`, 0)
+    for (let callee = 0; callee < 25; callee++) dependencies.recordCall(`s/${callee}`)
+  }
+  const times = [1, 2, 3].map(() => {
+    now += 2000
+    const before = performance.now()
+    dependencies.neededCallees('r0')
+    return performance.now() - before
+  })
+  assert.ok(Math.min(...times) < 200, `${times}`)
+})
