Returns with a place are begun also where several come within a moment

A calendar books by the room of its buckets, so that several returns may be due in a moment, but only two could go ahead of the credit of an entry node; the others were refused although room had been set aside for them. Eight may now.

--- a/src/core/shares/constants.ts
+++ b/src/core/shares/constants.ts
@@ -82,5 +82,5 @@
 /** Part of what is begun that expected retries may take ahead of others. With all of it, first requests would only ever be begun when they return. */
 export const advanceFraction = 0.5
 
-/** Requests by which expected retries may go ahead of the share at an entry node. */
-export const maxAdvance = 2
+/** Requests by which expected retries may go ahead of the share at an entry node: as many as may be booked within a moment. */
+export const maxAdvance = 8
