Calls with an estimated rank wait together

Cause: the ranks of calls that don't name their request are drawn one by one, so that the calls of one request had different ranks; each request then had calls that waited in vain. Change: such calls wait as one group at the best rank; direct requests keep their part of the starts and the reserved slots. Shares and the log keep the estimate.

--- a/src/core/node/serve.ts
+++ b/src/core/node/serve.ts
@@ -5,7 +5,7 @@
 import { fail } from '../errors/index.ts'
 import type { Failure } from '../errors/index.ts'
 import type { Environment, Peers } from '../peers/index.ts'
-import { groupOf, rankOf, reportedFractionOf } from '../admission/index.ts'
+import { groupOf, reportedFractionOf } from '../admission/index.ts'
 import type { QueuedRequest, ReportedFractions } from '../admission/index.ts'
 import type { RequestResult } from '../room/index.ts'
 import { inProgressPriority } from './constants.ts'
@@ -94,14 +94,22 @@
   return reason === 'stopping' ? fail('leaving') : fail('overloaded', { service, reason })
 }
 
+/**
+ * Returns the rank by which a call waits. Calls that do not name their request have an estimated rank, which differs between the calls of one
+ * request: were they to wait by it, each request would have some that wait in vain. They go first together.
+ */
+function waitingRank ({ priority, rank, depth }: CallContext): number {
+  return priority <= inProgressPriority && depth === 0 ? 0 : rank
+}
+
 /** Creates what waits before the target for a call that arrived at `arrivedAt`. */
 function createQueuedRequest ({ context, deadlineAt }: Call, arrivedAt: number, dependencies: Dependencies): QueuedRequest {
-  const { attempt, route, priority, rank, workspace, weight, waitMs, depth } = context
+  const { attempt, route, priority, workspace, weight, waitMs, depth } = context
   return {
     id: attempt,
     kind: route,
     priority,
-    rank,
+    rank: waitingRank(context),
     inProgress: priority <= inProgressPriority || depth > 0,
     needsCalls: dependencies.neededCallees(route).length > 0,
     workspace: workspace ?? '',
@@ -113,8 +121,8 @@
 }
 
 /** Returns the counter of requests that waited or were shed, by what they are. */
-function waitedMetric (entry: QueuedRequest, { type }: Admittance): string {
-  return `waited_total{outcome="${type}",group="${groupOf(entry)}",rank="${Math.min(highestRankLabel, rankOf(entry))}"}`
+function waitedMetric ({ rank }: CallContext, entry: QueuedRequest, { type }: Admittance): string {
+  return `waited_total{outcome="${type}",group="${groupOf(entry)}",rank="${Math.min(highestRankLabel, rank)}"}`
 }
 
 /** Returns how a request ended at the target, for the target's room. Without a sample it was cancelled or never got there. */
@@ -237,7 +245,7 @@
     const admittance = entering instanceof Promise ? await entering : entering
     stopListening()
     metrics.time('queue', clock.now() - arrivedAt)
-    if (entering instanceof Promise || admittance.type === 'shed') metrics.count(waitedMetric(entry, admittance))
+    if (entering instanceof Promise || admittance.type === 'shed') metrics.count(waitedMetric(call.context, entry, admittance))
     if (admittance.type === 'shed') {
       metrics.count(`shed_total{reason="${admittance.reason}",priority="${priority}"}`)
       const isTooLate = admittance.reason === 'too-late'
