Listeners of administration hold one request of a connection

Cause: they begin each request at once, and a control instance asks its leader over a connection of its own for each. Change: one request of a connection at a time, in place of 4, also at the ready listener and between processes. Tests of http, odd documents, odd heartbeats and cut calls pass (33).

--- a/src/core/http/clients.ts
+++ b/src/core/http/clients.ts
@@ -9,8 +9,8 @@
 import type { ClientBounds, Holding } from './client-bounds.ts'
 import { endOfPiece } from './pieces.ts'
 
-/** Requests of one connection that listeners of administration read ahead; they begin each at once. */
-export const maxRequestsAhead = 4
+/** Requests of one connection that listeners of administration hold: they begin each at once, and some ask other processes. */
+export const maxRequestsAhead = 1
 
 /** Time between two checks of the answers that were not taken, in milliseconds. */
 const checkIntervalMs = 100
