Statistics of gone nodes are dropped; a call that throws ends at its target's count

Cause: found in review; node ids that never come again would fill memory, and a count that leaks would keep calls from its target.

--- a/src/core/node/attempts.ts
+++ b/src/core/node/attempts.ts
@@ -8,7 +8,7 @@
 import type { Environment, Peers } from '../peers/index.ts'
 import { createRetryTokens, depositRetryToken, releaseBudget, reserveBudget, mayRetry, divideFleetRetries, consumeAttempt, takeRetryToken } from '../retries/index.ts'
 import type { Budget } from '../retries/index.ts'
-import { chooseTarget, createKnownStops, createTargetStats, recordAnswer, recordFailure, recordStart, recordStatedFailures, recordStatement, statsOf } from '../routing/index.ts'
+import { chooseTarget, createKnownStops, createTargetStats, pruneTargetStats, recordAnswer, recordFailure, recordStart, recordStatedFailures, recordStatement, statsOf } from '../routing/index.ts'
 import type { ServiceView } from '../where/index.ts'
 import { inProgressPriority } from './constants.ts'
 import type { Decisions, TurnAway } from './decisions.ts'
@@ -100,7 +100,11 @@
   const stops = createKnownStops(clock, drainMs)
   let endpoints = new Map<string, ServiceEndpoints>()
   let indexedMembers: readonly Member[] | undefined
-  const timer = setInterval(() => pruneThrottle(throttle, clock.now()), pruneEveryMs)
+  const prune = () => {
+    pruneThrottle(throttle, clock.now())
+    pruneTargetStats(statsByNode, new Set(peers.members().map(({ id }) => id)))
+  }
+  const timer = setInterval(prune, pruneEveryMs)
 
   const refreshMembers = () => {
     const members = peers.members()
@@ -125,8 +129,10 @@
     const heardShare = share < 1 ? share : undefined
     const attempt: Call = { ...call, context: { ...call.context, attempt: randomId(), budget: reserved, waitMs, heardShare } }
     recordStart(stats, startedAt)
-    const outcome = endpoint.node === id ? await server.serve(attempt, sink) : await forwarder.forward(endpoint.address, attempt, reserved, sink)
-    stats.inFlight--
+    const work = endpoint.node === id ? server.serve(attempt, sink) : forwarder.forward(endpoint.address, attempt, reserved, sink)
+    const outcome = await work.finally(() => {
+      stats.inFlight--
+    })
     releaseBudget(budget, reserved, outcome.report.used)
     recordAttempt(call.context, outcome, endpoint, clock.now() - startedAt)
     return outcome
--- a/src/core/routing/choice.ts
+++ b/src/core/routing/choice.ts
@@ -82,6 +82,11 @@
   return created
 }
 
+/** Drops the statistics of nodes that are no longer members and have no calls under way. */
+export function pruneTargetStats (statsByNode: TargetStatsMap, members: ReadonlySet<string>): void {
+  for (const [node, { inFlight }] of statsByNode) if (inFlight === 0 && !members.has(node)) statsByNode.delete(node)
+}
+
 function createStats (): TargetStats {
   return {
     inFlight: 0,
--- a/src/core/routing/index.ts
+++ b/src/core/routing/index.ts
@@ -1,4 +1,4 @@
-export { chooseTarget, createProbelessDraw, createTargetStats, explainChoice, failingNodes, recordAnswer, recordFailure, recordStart, statsOf } from './choice.ts'
+export { chooseTarget, createProbelessDraw, createTargetStats, explainChoice, pruneTargetStats, failingNodes, recordAnswer, recordFailure, recordStart, statsOf } from './choice.ts'
 export { createFailureFraction, recordRequestEnd, recordStatedFailures, significantFraction } from './failing.ts'
 export type { FailureFraction } from './failing.ts'
 export { createKnownStops } from './known-stops.ts'
--- a/test/routing/choice.test.ts
+++ b/test/routing/choice.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { chooseTarget, createTargetStats, recordAnswer, recordFailure, statsOf } from '../../src/core/routing/index.ts'
+import { chooseTarget, createTargetStats, pruneTargetStats, recordAnswer, recordFailure, recordStart, statsOf } from '../../src/core/routing/index.ts'
 import { createRandom } from '../../src/core/random/index.ts'
 
 const candidates = ['near-1', 'near-2', 'far-1', 'far-2'].map((node) => ({ node, domain: node.split('-')[0], slots: 10 }))
@@ -49,3 +49,12 @@
   const counts = countChoices(statsByNode)
   assert.ok((counts['near-1'] ?? 0) < counts['near-2'] / 4, JSON.stringify(counts))
 })
+
+test('statistics of nodes that are gone are dropped once no call is under way', () => {
+  const statsByNode = createTargetStats()
+  recordStart(statsOf(statsByNode, 'busy'), 0)
+  recordAnswer(statsOf(statsByNode, 'gone'), 10, 0, 0)
+  recordAnswer(statsOf(statsByNode, 'member'), 10, 0, 0)
+  pruneTargetStats(statsByNode, new Set(['member']))
+  assert.deepEqual([...statsByNode.keys()], ['busy', 'member'])
+})
