--- a/src/core/node/room-shares.ts
+++ b/src/core/node/room-shares.ts
@@ -103,6 +103,7 @@
     pruneCredits(credits, clock.now())
     pruneStatements(statements, clock.now())
   }, pruneEveryMs)
+  timer.unref()
   const update = () => {
     const { windowAt } = allocator
     updateAllocator(allocator, room(), clock.now())
