--- a/src/core/node/serve.ts
+++ b/src/core/node/serve.ts
@@ -5,8 +5,8 @@
 import { fail } from '../errors/index.ts'
 import type { Failure } from '../errors/index.ts'
 import type { Environment, Peers } from '../peers/index.ts'
-import { groupOf, reportedFractionOf } from '../admission/index.ts'
-import type { QueuedRequest, ReportedFractions } from '../admission/index.ts'
+import { reportedFractionOf } from '../admission/index.ts'
+import type { ReportedFractions } from '../admission/index.ts'
 import type { RequestResult } from '../room/index.ts'
 import { inProgressPriority } from './constants.ts'
 import type { CrashReporter } from './crashes.ts'
@@ -19,6 +19,7 @@
 import type { Admittance } from './gate.ts'
 import { headerOf } from './headers.ts'
 import type { KeyCheck } from './key-check.ts'
+import { createQueuedRequest, waitedMetric } from './queued-request.ts'
 import { createRefusedIds } from './refused-ids.ts'
 import type { EndedRequest, OwnFailures } from './own-failures.ts'
 import type { RoomShares } from './room-shares.ts'
@@ -30,9 +31,6 @@
 import { callEndOf, emptyReport, firstErrorStatus, fractionKey } from './types.ts'
 import type { AttemptOutcome, Call, CallContext, Report, Sink } from './types.ts'
 
-/** Highest rank with a label of its own in the metrics; it includes those above. */
-const highestRankLabel = 9
-
 /** Status of a target that is not the intended one (misdirected request). */
 const misdirectedStatus = 421
 
@@ -94,37 +92,6 @@
   return reason === 'stopping' ? fail('leaving') : fail('overloaded', { service, reason })
 }
 
-/**
- * Returns the rank by which a call waits. Calls that do not name their request have an estimated rank, which differs between the calls of one
- * request: were they to wait by it, each request would have some that wait in vain. They go first together.
- */
-function waitingRank ({ priority, rank, depth }: CallContext): number {
-  return priority <= inProgressPriority && depth === 0 ? 0 : rank
-}
-
-/** Creates what waits before the target for a call that arrived at `arrivedAt`. */
-function createQueuedRequest ({ context, deadlineAt }: Call, arrivedAt: number, dependencies: Dependencies): QueuedRequest {
-  const { attempt, route, priority, workspace, weight, waitMs, depth } = context
-  return {
-    id: attempt,
-    kind: route,
-    priority,
-    rank: waitingRank(context),
-    inProgress: priority <= inProgressPriority || depth > 0,
-    needsCalls: dependencies.neededCallees(route).length > 0,
-    workspace: workspace ?? '',
-    weight,
-    arrivedAt,
-    deadlineAt,
-    maxWaitMs: waitMs
-  }
-}
-
-/** Returns the counter of requests that waited or were shed, by what they are. */
-function waitedMetric ({ rank }: CallContext, entry: QueuedRequest, { type }: Admittance): string {
-  return `waited_total{outcome="${type}",group="${groupOf(entry)}",rank="${Math.min(highestRankLabel, rank)}"}`
-}
-
 /** Returns how a request ended at the target, for the target's room. Without a sample it was cancelled or never got there. */
 function resultOf (sample: { failed: boolean } | undefined, status: number, isRefused: boolean): RequestResult {
   if (sample === undefined) return 'cancelled'
