Waiting groups share the time of the slots, not the starts

Cause: direct requests of 360 ms had a quarter of the starts beside calls of 22 ms, and so five sixths of the time of a short service; calls in progress were displaced. Change: a group is passed over by a multiple of the work of its next request.

--- a/src/core/admission/constants.ts
+++ b/src/core/admission/constants.ts
@@ -43,10 +43,10 @@
 /** Fraction of the slots that is the first limit of a target that has just started. */
 export const coldStartFraction = 0.25
 
-/** Starts of the other group by which a waiting group may be passed over in a row: it keeps a quarter of the starts. */
+/** Work of the other group by which a waiting group may be passed over, as a multiple of its next request's: it keeps a quarter of the slots' time. */
 export const maxPassedOver = 3
 
-/** Starts of calls in progress of better ranks by which waiting new requests may be passed over in a row. */
+/** The same for new requests that wait behind calls in progress of better ranks. */
 export const maxPassedOverByBetter = 15
 
 /** Places of the queue that each group keeps, as a fraction of its capacity. */
--- a/src/core/admission/queue.ts
+++ b/src/core/admission/queue.ts
@@ -187,7 +187,8 @@
   const { ranked, queue, limit } = admission
   if (ranked === undefined) return bestIndex(admission, now)
   const goesFirst = (left: QueuedRequest, right: QueuedRequest, newestFirst: boolean) => isBetter(admission, left, right, newestFirst)
-  return takeNext(ranked, { queue, slots: Math.floor(limit.value), goesFirst }, now)
+  const workOf = ({ kind }: QueuedRequest) => Math.max(1, admission.typicalMs.get(kind) ?? 0)
+  return takeNext(ranked, { queue, slots: Math.floor(limit.value), workOf, goesFirst }, now)
 }
 
 /** Returns the index of the next request to start: highest priority first, then the workspace with the least service, then newest first under overload. */
--- a/src/core/admission/ranked.ts
+++ b/src/core/admission/ranked.ts
@@ -7,8 +7,8 @@
 
 /** State of a queue in which requests wait by the rank of the caller's request that they belong to. */
 export interface RankedWaiting {
-  /** Starts of the other group since the last start of each group, up to the most that matters. */
-  passedOver: Record<Group, number>
+  /** Work of the other group that was started while each group waited, since its own last start, in ms. */
+  passedOverMs: Record<Group, number>
   /** Time since which each group has had requests waiting, in ms. */
   waitingSince: Record<Group, number>
   held: HeldSlots
@@ -19,13 +19,15 @@
   queue: readonly QueuedRequest[]
   /** Slots of the target. */
   slots: number
+  /** Returns the time for which a request usually holds a slot, in ms. */
+  workOf: (entry: QueuedRequest) => number
   /** Returns true when the first of two requests of the same rank and group goes before the second. */
   goesFirst: (left: QueuedRequest, right: QueuedRequest, newestFirst: boolean) => boolean
 }
 
 /** Creates the state of an empty queue. */
 export function createRankedWaiting (): RankedWaiting {
-  return { passedOver: { 'in-progress': 0, new: 0 }, waitingSince: { 'in-progress': 0, new: 0 }, held: createHeldSlots() }
+  return { passedOverMs: { 'in-progress': 0, new: 0 }, waitingSince: { 'in-progress': 0, new: 0 }, held: createHeldSlots() }
 }
 
 /** Records that a request has arrived behind the queue at a target with `running` requests. */
@@ -43,11 +45,11 @@
  */
 export function takeNext (ranked: RankedWaiting, line: WaitingLine, now: number): number {
   const first = firstByGroup(ranked, line, now)
-  const group = nextGroup(ranked.passedOver, line.queue[first['in-progress']], line.queue[first.new])
+  const group = nextGroup(ranked.passedOverMs, line, line.queue[first['in-progress']], line.queue[first.new])
   if (group === undefined) return -1
   const other = otherGroup(group)
-  ranked.passedOver[group] = 0
-  ranked.passedOver[other] = Math.min(maxPassedOverByBetter, ranked.passedOver[other] + 1)
+  ranked.passedOverMs[group] = 0
+  ranked.passedOverMs[other] = first[other] < 0 ? 0 : ranked.passedOverMs[other] + line.workOf(line.queue[first[group]])
   return first[group]
 }
 
@@ -73,12 +75,12 @@
   return rankOf(left) === rankOf(right) ? goesFirst(left, right, newestFirst) : rankOf(left) < rankOf(right)
 }
 
-function nextGroup (passedOver: Record<Group, number>, call: QueuedRequest | undefined, request: QueuedRequest | undefined): Group | undefined {
+function nextGroup (passedOverMs: Record<Group, number>, { workOf }: WaitingLine, call: QueuedRequest | undefined, request: QueuedRequest | undefined): Group | undefined {
   if (call === undefined) return request && 'new'
   if (request === undefined) return 'in-progress'
-  if (rankOf(request) < rankOf(call)) return passedOver['in-progress'] >= maxPassedOver ? 'in-progress' : 'new'
+  if (rankOf(request) < rankOf(call)) return passedOverMs['in-progress'] >= maxPassedOver * workOf(call) ? 'in-progress' : 'new'
   const most = rankOf(request) === rankOf(call) ? maxPassedOver : maxPassedOverByBetter
-  return passedOver.new >= most ? 'new' : 'in-progress'
+  return passedOverMs.new >= most * workOf(request) ? 'new' : 'in-progress'
 }
 
 /**
--- a/test/admission/ranked.test.ts
+++ b/test/admission/ranked.test.ts
@@ -258,3 +258,20 @@
     assert.equal(admission.ranked && waitingSlots(admission.ranked.held), 0)
   }), { seed: 5, numRuns: 300 })
 })
+
+test('long direct requests beside short calls get a quarter of the time of the slots, not of the starts', () => {
+  const admission = createAdmission(1, 0, false, true)
+  admission.typicalMs.set('direct', 360).set('call', 20)
+  const started: string[] = []
+  const offerOne = (kind: string, index: number, priority: number) => {
+    const entry = { id: `${kind}${index}`, kind, priority, rank: 1, workspace: '', weight: 1, arrivedAt: 0, deadlineAt: 1e6, maxWaitMs: 1e6 }
+    started.push(...offer(admission, entry, 0).started)
+  }
+  admission.limit.value = 100
+  admission.running = 100
+  for (let index = 0; index < 120; index++) offerOne('call', index, -1)
+  for (let index = 0; index < 4; index++) offerOne('direct', index, 1)
+  for (let count = 0; count < 112; count++) started.push(...finish(admission, undefined, 0).started)
+  const direct = started.filter((id) => id.startsWith('direct')).length
+  assert.equal(direct, 2, started.join())
+})
