--- a/review/lib-2/harness.mjs
+++ b/review/lib-2/harness.mjs
@@ -242,6 +242,7 @@
     startSidecar: (number, service, changes) => startProcess('sidecar', `sidecar-${number}`, number, { service, appAddr: `${sidecarIp(number)}:${ports.app}`, ...changes }),
     logOf: (name) => processes.get(name).log.join(''),
     pidOf: (name) => processes.get(name).child.pid,
+    isKnown: (name) => processes.has(name),
     isRunning: (name) => processes.get(name)?.child.exitCode === null && processes.get(name)?.child.signalCode === null,
     signal (name, signal) {
       record(`${signal} to ${name}`)
