--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -3,10 +3,12 @@
 
 const cores = [1, 2, 3]
 const configApplyMs = 2000
-/** Longest time for which a core stands still. The longest `node_freeze` on a core in the days of the sites is 6.9 s. */
+/** Longest time for which a core stands still. The longest `node_freeze` on a core in the days of the site is 7.2 s. */
 const longestFreezeMs = 6500
+/** Pause between two planned restarts: the shortest of the sites. */
+const rollGapMs = 1000
 /** Time after which no further round is begun, so that the script ends in time. */
-const lastRoundMs = 96_000
+const lastRoundMs = 92_000
 
 await runCase(import.meta.dirname, { cores: cores.length }, async (fleet, trouble) => {
   for (const number of cores) fleet.startCore(number)
@@ -56,7 +58,7 @@
     if (trouble) fleet.signal(`core-${still}`, 'SIGSTOP')
     await pause(2000)
     const restarted = restart(first)
-    await pause(600)
+    await pause(rollGapMs)
     await Promise.all([restarted, restart(other)])
     const isLed = () => leaders().some((number) => number !== still && roleOf(number).term > term)
     await fleet.until(isLed, trouble ? frozenAt + longestFreezeMs - 400 - fleet.nowMs() : 8000)
@@ -73,10 +75,10 @@
     if (trouble) fleet.signal(`core-${leader}`, 'SIGSTOP')
     const next = document(version + 1)
     let acknowledgedAt
-    for (const until = fleet.nowMs() + 5000; acknowledgedAt === undefined && fleet.nowMs() < until; await pause(50)) {
+    for (const until = fleet.nowMs() + 3400; acknowledgedAt === undefined && fleet.nowMs() < until; await pause(50)) {
       for (const number of cores.filter((each) => each !== leader)) {
         const reply = await fleet.call(`http://${fleet.coreIp(number)}:${fleet.ports.control}/-/rpc?call=config.replace`, {
-          headers: { 'content-type': 'application/json', 'x-dogwoodspring-base-version': `r${version}` }, body: JSON.stringify(next), timeoutMs: 1500
+          headers: { 'content-type': 'application/json', 'x-dogwoodspring-base-version': `r${version}` }, body: JSON.stringify(next), timeoutMs: 1000
         })
         fleet.record(`operator sends ${next.version} on r${version} to core-${number} -> ${reply.status === 0 ? reply.error : reply.status}`)
         if (reply.status !== 200) continue
@@ -84,7 +86,10 @@
         break
       }
     }
-    need(acknowledgedAt !== undefined, 'the two cores that ran acknowledged no change')
+    if (acknowledgedAt === undefined) {
+      if (trouble) fleet.signal(`core-${leader}`, 'SIGCONT')
+      need(false, 'the two cores that ran acknowledged no change')
+    }
     version++
     await pause(configApplyMs + 200)
     const pending = read(leader)
--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -14,6 +14,8 @@
   fleet.startSidecar(1, 'front')
   fleet.startSidecar(2, 'ledger')
   fleet.startSidecar(3, 'ledger')
+  // Ten nodes, so that one of them is the share of `node_kill`.
+  for (const number of [4, 5, 6, 7, 8, 9, 10]) fleet.startSidecar(number, 'front')
   const front = await fleet.startServer(1, 'front')
   const leaving = await fleet.startServer(2, 'ledger')
   const staying = await fleet.startServer(3, 'ledger')
--- a/review/lib-2/harness.mjs
+++ b/review/lib-2/harness.mjs
@@ -278,6 +278,11 @@
       }
       return false
     },
+    /** Ends all processes at once and removes what they wrote. */
+    killAll () {
+      for (const { child } of processes.values()) child.kill('SIGKILL')
+      rmSync(temporary, { recursive: true, force: true })
+    },
     async stop () {
       for (const { child } of processes.values()) child.kill('SIGKILL')
       await Promise.all([...processes.values()].map(({ ended }) => ended))
@@ -314,11 +319,16 @@
   const trouble = process.env.TROUBLE !== '0'
   let fleet
   let code = 2
-  const limit = setTimeout(() => {
-    process.stderr.write('the case took longer than 115 s\n')
-    const stopped = fleet === undefined ? Promise.resolve() : fleet.stop()
-    stopped.then(() => process.exit(2))
-  }, 115_000)
+  /** Ends what was started and the case itself, which could not run. */
+  const giveUp = (reason) => {
+    process.stderr.write(`the case could not run: ${reason}\n`)
+    fleet?.killAll()
+    process.exit(2)
+  }
+  process.on('uncaughtException', (error) => giveUp(error.stack))
+  process.on('unhandledRejection', (error) => giveUp(error?.stack ?? error))
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.on(signal, () => giveUp(signal))
+  const limit = setTimeout(() => giveUp('it took longer than 115 s'), 115_000)
   try {
     fleet = await createFleet(folder, options)
     const broken = await play(fleet, trouble)
