Control group: voters that are gone for good are replaced or removed, whatever was replaced before

Cause: planMembershipChange wanted five voters once live instances and members missing for less than a minute came to six, so that standbys that were gone decided the number of voters; a missing voter was removed only while there were more voters than wanted; members that were gone filled the group, so that the newest instance never became a standby.

Change: the invariant is stated first (the loss of any one live instance leaves a quorum of live voters), the number of voters follows from live instances and from the disks that the deployment may lose at once (new setting faultTolerance), missing members count only in a group that is large already, and a learner that is missing yields its place in a full group.

--- a/src/cli/control/index.ts
+++ b/src/cli/control/index.ts
@@ -21,6 +21,7 @@
   join = flag('join')
   autoMembers = flag('autoMembers')
   bootstrap = flag('bootstrap')
+  faultTolerance = flag('faultTolerance')
   claims = flag('claims')
   rateWindowMs = flag('rateWindowMs')
   seeds = flag('seeds')
@@ -36,7 +37,7 @@
 
   async execute (): Promise<number> {
     const options = checkSettings(
-      ['id', 'domain', 'peer', 'admin', 'data', 'members', 'join', 'autoMembers', 'bootstrap', 'claims', 'rateWindowMs', 'seeds', 'secrets', 'operatorToken', 'jsonLog', ...clientSettings], this)
+      ['id', 'domain', 'peer', 'admin', 'data', 'members', 'join', 'autoMembers', 'bootstrap', 'faultTolerance', 'claims', 'rateWindowMs', 'seeds', 'secrets', 'operatorToken', 'jsonLog', ...clientSettings], this)
     if (options === undefined) return usageExitCode
     if (await this.isStopRequested()) return 0
     const { startControl } = await import('../../core/control/index.ts')
--- a/src/core/control/control.ts
+++ b/src/core/control/control.ts
@@ -126,7 +126,7 @@
   const rateTimer = startRateGrants(options.rateWindowMs, options.rateTolerance ?? { fraction: 0, requests: 0 }, peers, group, isLeader, () => registry, environment)
   const leaderTasks = startLeaderTasks(id, options, peers, group, isLeader, () => registry, hash, environment)
   publishBeacon = leaderTasks.publishBeacon
-  const reconcileTimer = options.autoMembers ? reconcileMembers(id, peers, group, isLeader, environment) : undefined
+  const reconcileTimer = options.autoMembers ? reconcileMembers(id, options.faultTolerance ?? 1, peers, group, isLeader, environment) : undefined
   const server: Server = createAdminServer(handleOrForward, metrics.expose, options.clients?.callers.createServer)
   const adminAddress = await listen(server, options.admin)
   metrics.gauge('consensus_term', () => group.state.hardState.term)
--- a/src/core/control/reconcile.ts
+++ b/src/core/control/reconcile.ts
@@ -5,8 +5,10 @@
 
 const reconcileIntervalMs = 100
 
-/** Reconciles the group members with the live instances at intervals while this instance is leader. */
-export function reconcileMembers (id: string, peers: Peers, group: Group, isLeader: () => boolean, { clock, log }: Environment): NodeJS.Timeout {
+/** Reconciles the group members with the live instances at intervals while this instance is leader. `faultTolerance` is the number of disks that may be lost at once. */
+export function reconcileMembers (
+  id: string, faultTolerance: number, peers: Peers, group: Group, isLeader: () => boolean, { clock, log }: Environment
+): NodeJS.Timeout {
   const missingSince = new Map<string, number>()
   let busy = false
   return setInterval(() => {
@@ -15,7 +17,7 @@
     const members = membersOf(group.state)
     const living = peers.members().filter(({ role }) => role === 'control').map(({ id, address, startedAt }) => ({ id, address, startedAt }))
     trackMissing(missingSince, members, living, now)
-    const view = { self: id, members, liveInstances: living, missingSince, isCaughtUp: (member: string) => hasCaughtUp(group.state, member) }
+    const view = { self: id, members, liveInstances: living, missingSince, isCaughtUp: (member: string) => hasCaughtUp(group.state, member), faultTolerance }
     const planned = busy ? undefined : planMembershipChange(view, now)
     if (planned === undefined) return
     busy = true
--- a/src/core/control/types.ts
+++ b/src/core/control/types.ts
@@ -24,6 +24,8 @@
   autoMembers: boolean
   /** With `autoMembers`: true at the first start of the cluster. */
   bootstrap: boolean
+  /** With `autoMembers`: number of disks that may be lost at once without losing a change. Default: 1. */
+  faultTolerance?: number
   /** Window over which rate and burst are enforced, in ms; 0 enforces them at every moment, as a token bucket. */
   rateWindowMs: number
   /** How far the allowances of a workspace may exceed its limit over such a window. Default: not at all. */
--- a/src/core/settings/schema.ts
+++ b/src/core/settings/schema.ts
@@ -97,6 +97,8 @@
   autoMembers: defineSetting({ flag: '--auto-members', variable: 'DOGWOODSPRING_AUTO_MEMBERS', description: 'Add discovered control instances to the group and replace lost ones without an operator', unit: 'true or false', fallback: 'false', example: 'true', schema: booleanSchema }),
   /** With `autoMembers`: whether the cluster starts for the first time. Default: false. */
   bootstrap: defineSetting({ flag: '--bootstrap', variable: 'DOGWOODSPRING_BOOTSTRAP', description: 'With --auto-members: first start of the whole system, with empty data folders', unit: 'true or false', fallback: 'false', example: 'true', schema: booleanSchema }),
+  /** With `autoMembers`: number of control instances whose disks may be lost at once. Default: 1. */
+  faultTolerance: defineSetting({ flag: '--fault-tolerance', variable: 'DOGWOODSPRING_FAULT_TOLERANCE', description: 'With --auto-members: control instances whose disks may be lost at once without losing a change', unit: 'instances', fallback: '1', example: '2', schema: wholeNumberSchema(1, 3) }),
   /** Whether claims for non-idempotent requests are placed. Default: true. */
   claims: defineSetting({ flag: '--claims', variable: 'DOGWOODSPRING_CLAIMS', description: 'Place claims for non-idempotent requests on the nodes', unit: 'true or false', fallback: 'true', example: 'false', schema: booleanSchema }),
   /** Window over which rate and burst are enforced. Default: 0 ms. */
--- a/test/control/composition.test.ts
+++ b/test/control/composition.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import type { Member } from '../../src/core/consensus/index.ts'
-import { planMembershipChange, removeLearnerAfterMs, replaceVoterAfterMs, trackMissing } from '../../src/core/control/composition.ts'
+import { planMembershipChange, removeLearnerAfterMs, replaceAfterMs, trackMissing } from '../../src/core/control/composition.ts'
 import type { GroupView, LiveInstance } from '../../src/core/control/composition.ts'
 
 function voter (id: string): Member {
@@ -17,7 +17,7 @@
 }
 
 function view (members: Member[], alive: LiveInstance[], changes: Partial<GroupView> = {}): GroupView {
-  return { self: 'a', members, liveInstances: alive, missingSince: new Map(), isCaughtUp: () => true, ...changes }
+  return { self: 'a', members, liveInstances: alive, missingSince: new Map(), isCaughtUp: () => true, faultTolerance: 1, ...changes }
 }
 
 function ids (members: readonly Member[] | undefined): string[] | undefined {
@@ -43,15 +43,15 @@
   assert.deepEqual(steps, [['a', 'b'], ['a', 'b', 'c-new?'], ['a', 'b', 'c-new']])
 })
 
-test('replaces a voter that has been missing for replaceVoterAfterMs by a standby that has caught up', () => {
+test('replaces a voter that has been missing for replaceAfterMs by a standby that has caught up', () => {
   const missingSince = new Map([['c', 0]])
   const members = [voter('a'), voter('b'), voter('c'), standby('d')]
   const alive = liveInstances('a', 'b', 'd')
-  assert.equal(planMembershipChange(view(members, alive, { missingSince }), replaceVoterAfterMs - 1), undefined)
-  assert.equal(planMembershipChange(view(members, alive, { missingSince, isCaughtUp: () => false }), replaceVoterAfterMs), undefined)
-  const promoted = planMembershipChange(view(members, alive, { missingSince }), replaceVoterAfterMs)
+  assert.equal(planMembershipChange(view(members, alive, { missingSince }), replaceAfterMs - 1), undefined)
+  assert.equal(planMembershipChange(view(members, alive, { missingSince, isCaughtUp: () => false }), replaceAfterMs), undefined)
+  const promoted = planMembershipChange(view(members, alive, { missingSince }), replaceAfterMs)
   assert.deepEqual(ids(promoted), ['a', 'b', 'c', 'd'])
-  assert.deepEqual(ids(planMembershipChange(view(promoted ?? [], alive, { missingSince }), replaceVoterAfterMs)), ['a', 'b', 'd'])
+  assert.deepEqual(ids(planMembershipChange(view(promoted ?? [], alive, { missingSince }), replaceAfterMs)), ['a', 'b', 'd'])
 })
 
 test('never removes the leader, and keeps a missing voter while no standby can replace it', () => {
@@ -73,6 +73,6 @@
   const members = [...['a', 'b', 'c', 'd', 'e'].map(voter), standby('f'), standby('g')]
   const missingSince = new Map(['d', 'e', 'f', 'g'].map((id) => [id, 0]))
   const alive = liveInstances('a', 'b', 'c')
-  assert.equal(planMembershipChange(view(members, alive, { missingSince }), replaceVoterAfterMs), undefined)
+  assert.equal(planMembershipChange(view(members, alive, { missingSince }), replaceAfterMs), undefined)
   assert.deepEqual(ids(planMembershipChange(view(members, alive, { missingSince }), removeLearnerAfterMs)), ['a', 'b', 'c', 'e', 'f?', 'g?'])
 })
