What a target said of its end is known beyond its node before it is acknowledged, and asked for after a restart

Cause: which processes had left was in the memory of one process only; a restarted node asked nobody.

Change: a departure is kept by two control instances and two nodes, chosen by id and over domains, before it is acknowledged, and told again while it is fresh; with no holder it is refused (503), so that nothing acknowledged is forgotten with a node that is cut off. A node that starts asks the holders, for 1 s at most, before it takes a target into use.

--- /dev/null
+++ b/src/core/departures/index.ts
@@ -0,0 +1,5 @@
+export { createDepartureClient, recallLimitMs } from './client.ts'
+export type { DepartureClient } from './client.ts'
+export { serveDepartures } from './holder.ts'
+export { isSameDeparture, mergeDepartures } from './record.ts'
+export type { Departure } from './record.ts'
--- a/src/core/node/announcement.ts
+++ b/src/core/node/announcement.ts
@@ -1,3 +1,6 @@
+import { isSameDeparture } from '../departures/index.ts'
+import type { Departure } from '../departures/index.ts'
+
 /** Announcement with which a target registers at its node. */
 export interface Announcement {
   service: string
@@ -41,13 +44,18 @@
    * of that id is meant, and it counts again if it goes on announcing itself. Returns true if it is the known process.
    */
   depart: (instance: string, bornAt: number | undefined) => boolean
+  /**
+   * Adds the departures that an earlier process of this node has acknowledged. Returns true if the known process is one of those that left, or started before
+   * one of them, so that it must not be in use.
+   */
+  restore: (earlier: readonly Departure[]) => boolean
 }
 
 /** Number of deregistered processes that are remembered; servers at one address follow each other seconds apart. */
 const maxDepartures = 32
 
 /** A process that has deregistered. */
-interface Departure {
+interface DepartedProcess {
   instance: string
   bornAt: number
   /** False if the message did not say which process of that id it means. */
@@ -76,7 +84,7 @@
   let knownAt = -Infinity
   let isReleased = false
   let outdated: Outdated | undefined
-  const departures: Departure[] = []
+  const departures: DepartedProcess[] = []
 
   const isGoingOn = (next: Incarnation, now: number): boolean => {
     if (outdated === undefined || !isSameProcess(next, outdated.incarnation)) {
@@ -113,6 +121,19 @@
       departures.push({ instance, bornAt: departedBornAt, isCertain: bornAt !== undefined })
       if (departures.length > maxDepartures) departures.shift()
       return isKnown
+    },
+    restore (earlier) {
+      let isObsolete = false
+      for (const departure of earlier) {
+        const { instance, bornAt, sequence, state, isCertain } = departure
+        const isGone = state === 'gone'
+        if (isGone && !departures.some((other) => isSameDeparture(other, departure))) departures.push({ instance, bornAt, isCertain })
+        const isKnown = known?.instance === instance && known.bornAt === bornAt
+        if (known !== undefined && !(isKnown && isGone) && !isNewerIncarnation({ instance, bornAt, sequence }, known)) continue
+        isObsolete ||= known !== undefined
+        known = { instance, bornAt, sequence: Math.max(sequence, isKnown ? known?.sequence ?? 0 : 0) }
+      }
+      return isObsolete
     }
   }
 }
--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -6,6 +6,7 @@
 import type { Hash } from '../claims/index.ts'
 import type { EffectiveRoute } from '../config/index.ts'
 import { serveClaims } from '../claims/service.ts'
+import { createDepartureClient } from '../departures/index.ts'
 import { closeServer, listen } from '../http/index.ts'
 import type { ProcessClients, ServerFactory } from '../http/index.ts'
 import { createRequestLog } from '../log/index.ts'
@@ -15,7 +16,8 @@
 import { createMeter } from '../rate/index.ts'
 import { readArrived } from '../turns/index.ts'
 import { createCallSender } from './attempts.ts'
-import type { Announcement } from './announcement.ts'
+import { createAnnouncements } from './announcements.ts'
+import type { Announcements } from './announcements.ts'
 import { createBacklog, hasLeft } from './backlog.ts'
 import type { Backlog } from './backlog.ts'
 import { callerKeepAliveMs, contextHeader, leaveGraceMs, maxHeaderBytes, maxPeerBodyBytes, ownPathPrefix } from './constants.ts'
@@ -105,10 +107,10 @@
   listenAddress: string
   peerAddress: string
   localAddress: string
-  /** Records an announcement of the node's own target. Returns false for one that is not newer than the last. */
-  announce: (announcement: Announcement) => boolean
-  /** Deregisters a process of the node's own target. Returns false when another process is registered. */
-  withdraw: (instance: string, bornAt: number | undefined) => boolean
+  /** Records an announcement of the node's own target. */
+  announce: Announcements['announce']
+  /** Deregisters a process of the node's own target. The outcome is "outdated" when another process is registered. */
+  withdraw: Announcements['withdraw']
   /** Returns true while callers may send requests to this node: it has a configuration and is not stopping. */
   isReady: () => boolean
   /** Leaves the cluster, waits for running requests until the stop timeout, then closes the node. The stop counts from `requestedAt`, by default from the call. */
@@ -123,6 +125,8 @@
   const keepAliveMs = options.keepAliveMs ?? callerKeepAliveMs
   const peers = await createPeers({ id, boot: randomId(), role: 'node', domain, address, seeds, secrets, clients: options.clients?.peers }, environment)
   const target = createOwnTarget(peers, environment, { drainMs, adaptiveLimit, rankedWaiting, usesRoom: roomPlacement })
+  const departures = createDepartureClient(peers, environment, hash, target.restore)
+  const announcements = createAnnouncements(target, departures, environment)
   const spans = createSpans()
   const dependencies = createDependencies(clock)
   const reportedFractions = createReportedFractions()
@@ -259,8 +263,8 @@
     listenAddress,
     peerAddress: peers.address,
     localAddress,
-    announce: target.announce,
-    withdraw: target.withdraw,
+    announce: announcements.announce,
+    withdraw: announcements.withdraw,
     isReady: () => stop === undefined && (dialect.configuredBy === 'templates' || directory.deployment() !== undefined),
     async stop (requestedAt) {
       log.info('node leaving', { id })
@@ -290,6 +294,7 @@
       claimHolder.close()
       forwarder.close()
       crashes.close()
+      departures.close()
       await target.close()
       await peers.close()
       log.info('node stopped', { id })
--- a/src/core/node/target.ts
+++ b/src/core/node/target.ts
@@ -5,8 +5,9 @@
 import type { Target } from '../membership/index.ts'
 import { splitAddress } from '../rpc/index.ts'
 import { createConnector } from '../http/index.ts'
+import type { Departure } from '../departures/index.ts'
 import { createAnnouncementOrder } from './announcement.ts'
-import type { Announcement } from './announcement.ts'
+import type { Announcement, Incarnation } from './announcement.ts'
 import { announcementLifeMs } from './constants.ts'
 import { createGate } from './gate.ts'
 import type { Gate } from './gate.ts'
@@ -90,7 +91,11 @@
    * Returns false when another process is registered.
    */
   withdraw: (instance: string, bornAt: number | undefined) => boolean
+  /** Takes a process out of use that has left by what an earlier process of this node has acknowledged; its late announcements are outdated. */
+  restore: (departures: readonly Departure[]) => void
   current: () => Target | undefined
+  /** Returns what identifies the newest announcement; undefined where targets do not identify their processes. */
+  incarnation: () => Incarnation | undefined
   /** Returns the id of the target's current process; undefined where targets do not identify their processes. */
   instance: () => string | undefined
   /** Returns true while new requests may be sent to the target. */
@@ -180,7 +185,14 @@
       if (target?.state === 'up') publish({ ...target, state: 'leaving' })
       return true
     },
+    restore (departures) {
+      if (!order.restore(departures) || target === undefined) return
+      log.info('target had left before this process started', { instance: lastAnnouncement?.incarnation?.instance, state: target.state })
+      drainedAt = Math.min(drainedAt, clock.now())
+      if (target.state === 'up') publish({ ...target, state: 'leaving' })
+    },
     current: () => target,
+    incarnation: () => lastAnnouncement?.incarnation,
     instance: () => lastAnnouncement?.incarnation?.instance,
     acceptsRequests: () => target !== undefined && target.state !== 'down' && clock.now() < drainedAt,
     mayEnd: () => clock.now() >= drainedAt,
--- a/src/core/peers/peers.ts
+++ b/src/core/peers/peers.ts
@@ -18,6 +18,7 @@
 import type { Beacon, Freshness } from '../freshness/index.ts'
 import { check } from '../config/index.ts'
 import type { Configuration, Delta } from '../config/index.ts'
+import { serveDepartures } from '../departures/holder.ts'
 import { createDatagrams, createRpcClient, createRpcServer, rpcPath } from '../rpc/index.ts'
 import type { Datagrams, RpcClient, RpcServer } from '../rpc/index.ts'
 import { closeServer, listen, maxRequestsAhead } from '../http/index.ts'
@@ -133,6 +134,7 @@
   const recordRefusal = createRefusalRecorder(environment)
   const datagrams = await createDatagrams(address, sealer, clock, traffic.record, recordRefusal)
   const refuseRecord = (reason: string) => recordRefusal('member_records_refused_total', reason)
+  serveDepartures(datagrams, clock, recordRefusal)
   const freshness = createFreshness()
   const memberListeners: Array<(member: Member) => void> = []
   let isOpen = true
--- a/test/platform/odd-heartbeats.test.ts
+++ b/test/platform/odd-heartbeats.test.ts
@@ -5,6 +5,7 @@
 import { systemClock as clock } from '../../src/core/clock/index.ts'
 import { silentLog } from '../../src/core/log/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
+import type { Announcement } from '../../src/core/node/index.ts'
 import { createOwnTarget } from '../../src/core/node/target.ts'
 import type { OwnTarget } from '../../src/core/node/target.ts'
 import type { Peers } from '../../src/core/peers/index.ts'
@@ -16,7 +17,11 @@
   const metrics = createMetrics()
   const environment = { clock, random: createRandom(1), log: silentLog, metrics }
   const target = createOwnTarget({ setTarget () {} } as unknown as Peers, environment, { drainMs: 1000, adaptiveLimit: false })
-  const server = createInstanceServer({ announce: target.announce, withdraw: target.withdraw }, { service: 's', serverAddress: '127.0.0.1:9' }, environment)
+  const node = {
+    announce: async (announcement: Announcement) => target.announce(announcement) ? 'taken' as const : 'outdated' as const,
+    withdraw: async (instance: string, bornAt: number | undefined) => target.withdraw(instance, bornAt) ? 'taken' as const : 'outdated' as const
+  }
+  const server = createInstanceServer(node, { service: 's', serverAddress: '127.0.0.1:9' }, environment)
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
   const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}/-/rpc`
   try {
