Consensus: a leader counts only answers to messages of its own term

Cause: a member that refuses an append of an earlier term answers with its newer term and echoes sentAt and round, which start again with each process; the leader took answers to what its earlier process had sent for its own.

Change: a reply names the term of the message that it answers, and a leader counts replies to messages of its own term only, none from its own future. Replies of members of an earlier version name no term: acceptances have that of their message and count, refusals count for the log position only.

The model had one clock for all processes; each has its own now, and instances stand still, read, and restart as leaders in the fuzz test, under two more invariants.

--- a/src/core/consensus/core.ts
+++ b/src/core/consensus/core.ts
@@ -222,10 +222,10 @@
   if (state.votesFrom.length >= quorumOf(state)) becomeLeader(state, now, effects)
 }
 
-/** Replies to an append or snapshot message and echoes its send time and read round. */
-function replyToAppend (state: State, to: string, ok: boolean, match: number, message: { sentAt: number, round: number }, effects: Effect[]): void {
-  const { sentAt, round } = message
-  effects.push({ type: 'send', to, message: { type: 'append-reply', term: state.hardState.term, ok, match, sentAt, round } })
+/** Replies to an append or snapshot message and echoes its send time, read round and term. */
+function replyToAppend (state: State, to: string, ok: boolean, match: number, message: { term: number, sentAt: number, round: number }, effects: Effect[]): void {
+  const { term: answeredTerm, sentAt, round } = message
+  effects.push({ type: 'send', to, message: { type: 'append-reply', term: state.hardState.term, ok, match, sentAt, round, answeredTerm } })
 }
 
 function followLeader (state: State, from: string, now: number, random: Random): void {
@@ -264,8 +264,8 @@
   if (message.index > state.commit) {
     const incoming = receivePart(state, from, message)
     if (incoming.text.length < message.length) {
-      const { index, sentAt, round } = message
-      effects.push({ type: 'send', to: from, message: { type: 'snapshot-reply', term: state.hardState.term, index, received: incoming.text.length, sentAt, round } })
+      const { term, index, sentAt, round } = message
+      effects.push({ type: 'send', to: from, message: { type: 'snapshot-reply', term, index, received: incoming.text.length, sentAt, round, answeredTerm: term } })
       return
     }
     state.incoming = null
@@ -292,30 +292,35 @@
   effects.push({ type: 'snapshot', snapshot, entries: state.entries, restore: true })
 }
 
-/** Returns the progress of a member whose reply concerns the current term of this leader. */
-function progressOf (state: State, from: string, term: number): Progress | undefined {
-  return state.role === 'leader' && term === state.hardState.term ? state.progress[from] : undefined
+/** Returns the progress of a member whose reply concerns the current term of this leader and answers one of its messages of this term. */
+function progressOf (state: State, from: string, { term, answeredTerm = term }: { term: number, answeredTerm?: number }): Progress | undefined {
+  return state.role === 'leader' && term === state.hardState.term && answeredTerm === term ? state.progress[from] : undefined
 }
 
-function acknowledge (state: State, progress: Progress, { sentAt, round }: { sentAt: number, round: number }, effects: Effect[]): void {
+/**
+ * Counts a reply for the lease and for reads. Times and rounds start again with each process, so one that lies in the future of this process answers another.
+ */
+function acknowledge (state: State, progress: Progress, { sentAt, round }: { sentAt: number, round: number }, now: number, effects: Effect[]): void {
+  if (sentAt > now || round > state.readRound) return
   progress.ackedAt = Math.max(progress.ackedAt, sentAt)
   progress.acknowledgedRound = Math.max(progress.acknowledgedRound, round)
   confirmReads(state, effects)
 }
 
 function onSnapshotReply (state: State, from: string, message: MessageOf<'snapshot-reply'>, now: number, effects: Effect[]): void {
-  const progress = progressOf(state, from, message.term)
+  const progress = progressOf(state, from, message)
   if (progress === undefined) return
-  acknowledge(state, progress, message, effects)
+  acknowledge(state, progress, message, now, effects)
   recordReply(progress, message.sentAt, () => true, now)
   if (progress.transfer?.snapshot.index === message.index) progress.transfer.received = message.received
   replicate(state, from, now, effects)
 }
 
 function onAppendReply (state: State, from: string, message: MessageOf<'append-reply'>, now: number, effects: Effect[]): void {
-  const progress = progressOf(state, from, message.term)
+  const progress = progressOf(state, from, message)
   if (progress === undefined) return
-  acknowledge(state, progress, message, effects)
+  // A refusal that names no term may answer a message of an earlier one; an acceptance has the term of its message.
+  if (message.ok || message.answeredTerm !== undefined) acknowledge(state, progress, message, now, effects)
   recordReply(progress, message.sentAt, ({ match }) => !message.ok || message.match >= match, now)
   if (!message.ok) {
     const next = Math.max(progress.matchIndex + 1, Math.min(progress.nextIndex - 1, message.match + 1))
--- a/src/core/consensus/types.ts
+++ b/src/core/consensus/types.ts
@@ -47,7 +47,10 @@
   entries: Entry[]
 }
 
-/** Messages between control instances. `sentAt` is a time on the sender's clock; replies echo it. */
+/**
+ * Messages between control instances. `sentAt` is a time on the clock of the sender's process, and `round` a number of that process; replies echo both, and
+ * name the term of the message that they answer, which one process led. Members of an earlier version don't name it.
+ */
 export type Message =
   | { type: 'prevote', term: number, lastIndex: number, lastTerm: number }
   | { type: 'prevote-reply', term: number, granted: boolean }
@@ -57,8 +60,8 @@
   /** The part of a snapshot that begins at `offset`; offset and length count characters of its whole state. */
   | { type: 'snapshot', term: number, index: number, snapshotTerm: number, members: Member[], offset: number, length: number, text: string, sentAt: number, round: number }
   /** Reply to a part of a snapshot that is not complete: the characters received from the start on. */
-  | { type: 'snapshot-reply', term: number, index: number, received: number, sentAt: number, round: number }
-  | { type: 'append-reply', term: number, ok: boolean, match: number, sentAt: number, round: number }
+  | { type: 'snapshot-reply', term: number, index: number, received: number, sentAt: number, round: number, answeredTerm?: number }
+  | { type: 'append-reply', term: number, ok: boolean, match: number, sentAt: number, round: number, answeredTerm?: number }
   | { type: 'timeout-now', term: number }
 
 /** Inputs of the consensus state machine. */
--- a/test/consensus/core.test.ts
+++ b/test/consensus/core.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { createState, maxElectionTimeoutMs, step } from '../../src/core/consensus/index.ts'
+import { createState, holdsLease, leaseMs, maxElectionTimeoutMs, step } from '../../src/core/consensus/index.ts'
 import type { Effect, Message, State } from '../../src/core/consensus/index.ts'
 import { createRandom } from '../../src/core/random/index.ts'
 
@@ -107,3 +107,49 @@
   const effects = step(state, { type: 'tick' }, 25, random)
   assert.deepEqual(effects.map((effect) => effect.type === 'send' ? effect.message.type : effect.type), ['prevote', 'prevote'])
 })
+
+/** Creates a leader of term 2 whose first entry of that term \`b\` has acknowledged. Its earlier process led term 1. */
+function createLeaderAgain (): State {
+  const snapshot = { index: 0, term: 0, members, state: null }
+  const state = createState('a', { hardState: { term: 1, votedFor: 'a' }, snapshot, entries: [] }, 0, random)
+  receive(state, 'b', { type: 'timeout-now', term: 1 })
+  receive(state, 'b', { type: 'vote-reply', term: 2, granted: true })
+  receive(state, 'b', { type: 'append-reply', term: 2, ok: true, match: 1, sentAt: 10_000, round: 0 })
+  assert.deepEqual([state.role, state.commit, holdsLease(state, 10_000)], ['leader', 1, true])
+  return state
+}
+
+/** Returns the answer of \`c\`, which has heard of term 2, to an append that the leader of term 1 had sent. */
+function answerToEarlierProcess (): Message {
+  const snapshot = { index: 0, term: 0, members, state: null }
+  const follower = createState('c', { hardState: { term: 2, votedFor: null }, snapshot, entries: [] }, 0, random)
+  const effects = receive(follower, 'a', { type: 'append', term: 1, previousIndex: 0, previousTerm: 0, entries: [], commit: 0, sentAt: 90_000, round: 50 })
+  const sent = effects.find((effect) => effect.type === 'send')
+  assert.ok(sent?.type === 'send' && sent.message.type === 'append-reply' && !sent.message.ok)
+  return sent.message
+}
+
+// Guards against review/6: a leader took the answers to what its earlier process had sent for the own ones, and held its lease without a quorum.
+test('an answer to a message of an earlier term neither extends the lease nor confirms a read', () => {
+  const leader = createLeaderAgain()
+  step(leader, { type: 'read', id: 'r' }, 10_000, random)
+  const effects = receive(leader, 'c', answerToEarlierProcess())
+  assert.deepEqual(confirmed(effects), [])
+  assert.equal(holdsLease(leader, 10_000 + leaseMs), false)
+})
+
+test('a refusal that does not name the term of its message, as members of an earlier version send it, counts for neither', () => {
+  const leader = createLeaderAgain()
+  step(leader, { type: 'read', id: 'r' }, 10_000, random)
+  const effects = receive(leader, 'c', { type: 'append-reply', term: 2, ok: false, match: 0, sentAt: 10_000, round: 1 })
+  assert.deepEqual(confirmed(effects), [])
+  assert.deepEqual(confirmed(receive(leader, 'c', { type: 'append-reply', term: 2, ok: true, match: 1, sentAt: 10_000, round: 1 })), ['r'])
+})
+
+test('a leader counts no answer to a message from its own future', () => {
+  const leader = createLeaderAgain()
+  step(leader, { type: 'read', id: 'r' }, 10_000, random)
+  const effects = receive(leader, 'c', { type: 'append-reply', term: 2, ok: true, match: 1, sentAt: 90_000, round: 50 })
+  assert.deepEqual(confirmed(effects), [])
+  assert.equal(holdsLease(leader, 10_000 + leaseMs), false)
+})
--- a/test/consensus/fuzz.test.ts
+++ b/test/consensus/fuzz.test.ts
@@ -130,3 +130,36 @@
   for (let number = 0; number < 60; number++) assert.equal(after.registry.answered[`c${number}`]?.result.ok, true)
   assert.deepEqual(group.violations, [])
 })
+
+// Guards against review/6 in a whole group: an instance stands still over a restart of the others, and answers what the former leader sent before it.
+test('a leader that leads again after its restart holds no lease without a quorum', () => {
+  let leadsAgain = 0
+  for (let groupSeed = 1; groupSeed <= 40; groupSeed++) {
+    const group = createSimulatedGroup(ids, groupSeed)
+    group.run(60_000)
+    const former = group.leader()?.id ?? ''
+    const [still, other] = ids.filter((id) => id !== former)
+    group.freeze(still, 5200)
+    group.run(500)
+    for (const id of [other, former]) {
+      group.crash(id, 1)
+      group.run(100)
+      group.restart(id)
+      group.run(id === other ? 1000 : 0)
+    }
+    group.run(4000)
+    const next = group.leader()
+    if (next?.id !== former) continue
+    leadsAgain++
+    group.partition([ids.filter((id) => id !== former), [former]])
+    group.run(4000)
+    const elected = [...group.instances.values()].find(({ id, state }) => id !== former && state.role === 'leader')
+    assert.ok(elected, `the others of seed ${groupSeed} elect a leader`)
+    group.propose(elected.id, 'p', change(1))
+    group.run(500)
+    group.read(former, 'r')
+    group.run(500)
+    assert.deepEqual([group.violations, group.confirmed.has('r')], [[], false], `seed ${groupSeed}`)
+  }
+  assert.ok(leadsAgain >= 5, `the former leader leads again in ${leadsAgain} groups`)
+})
--- a/test/consensus/group-commands.ts
+++ b/test/consensus/group-commands.ts
@@ -64,6 +64,16 @@
   fc.integer({ min: 1000, max: 6000 }).map((ms) => createStep(`run(${ms})`, (group) => group.run(ms))),
   fc.tuple(instanceId, fc.double({ min: 0, max: 1, noNaN: true })).map(([id, keep]) => createStep(`crash(${id}, ${keep})`, (group) => group.crash(id, keep))),
   instanceId.map((id) => createStep(`restart(${id})`, (group) => group.restart(id))),
+  fc.tuple(instanceId, fc.integer({ min: 100, max: 7000 })).map(([id, ms]) => createStep(`freeze(${id}, ${ms})`, (group) => group.freeze(id, ms))),
+  fc.tuple(instanceId, fc.nat(1e6)).map(([id, number]) => createStep(`read(${id}, ${number})`, (group) => group.read(id, `r${number}`))),
+  fc.nat(1e6).map((number) => createStep(`readAtLeader(${number})`, (group) => group.read(group.leader()?.id ?? ids[0], `r${number}`))),
+  fc.integer({ min: 0, max: 600 }).map((ms) => createStep(`restartLeader(${ms})`, (group) => {
+    const id = group.leader()?.id
+    if (id === undefined) return
+    group.crash(id, 1)
+    group.run(ms)
+    group.restart(id)
+  })),
   instanceId.map((id) => createStep(`cutOff(${id})`, (group) => group.partition([ids.filter((other) => other !== id), [id]]))),
   fc.constant(createStep('cutAll()', (group) => group.partition(ids.map((id) => [id])))),
   fc.constant(createStep('heal()', (group) => group.heal())),
@@ -79,6 +89,7 @@
 export function settleAndCompare (oracle: Oracle, group: SimulatedGroup): void {
   group.heal()
   for (const id of ids) {
+    group.freeze(id, 0)
     group.crash(id, 0)
     group.restart(id)
   }
--- a/test/consensus/simulated-group.ts
+++ b/test/consensus/simulated-group.ts
@@ -1,6 +1,6 @@
 import { createEffectRunner, createState, holdsLease, hasCommittedInTerm, step } from '../../src/core/consensus/index.ts'
 import type { Effect, EffectRunner, Event, Member, Message, Snapshot, State } from '../../src/core/consensus/index.ts'
-import { createRandom } from '../../src/core/random/index.ts'
+import { createRandom, sample } from '../../src/core/random/index.ts'
 import type { Random } from '../../src/core/random/index.ts'
 import { applyCommand, createRegistry } from '../../src/core/registry/index.ts'
 import type { Command, Registry, Result } from '../../src/core/registry/index.ts'
@@ -25,6 +25,10 @@
   members: Member[]
   up: boolean
   runner: EffectRunner
+  /** Time of the test at which its process started. Its monotonic clock starts again at 0 with each process. */
+  startedAt: number
+  /** Time of the test until which its process stands still; what arrives meanwhile waits. */
+  frozenUntil: number
 }
 
 interface Packet {
@@ -42,6 +46,10 @@
   run: (ms: number) => void
   propose: (id: string, proposal: string, command: Command) => void
   changeMembers: (id: string, members: Member[]) => void
+  /** Asks an instance to confirm that it still leads. A confirmation must cover everything acknowledged by now. */
+  read: (id: string, read: string) => void
+  /** Lets the process of an instance stand still. */
+  freeze: (id: string, ms: number) => void
   /** Stops an instance. Of the unsynced data, only the fraction `keep` remains on its disk. */
   crash: (id: string, keep: number) => void
   restart: (id: string) => void
@@ -56,6 +64,8 @@
   leader: () => Instance | undefined
   /** Results of acknowledged proposals, by proposal id. */
   acknowledged: Map<string, Result>
+  /** Ids of confirmed reads. */
+  confirmed: Set<string>
   violations: string[]
 }
 
@@ -68,6 +78,10 @@
   const leaders = new Map<number, string>()
   const appliedEntries = new Map<number, string>()
   const violations: string[] = []
+  const confirmed = new Set<string>()
+  /** Index of the newest acknowledged entry, and what it was when a read began. */
+  let acknowledgedIndex = 0
+  const readFloors = new Map<string, number>()
   let packets: Packet[] = []
   let partitionSets: readonly string[][] | undefined
   let lossProbability = 0
@@ -81,9 +95,9 @@
     if (fresh) store.saveSnapshot(initial, stored.hardState, [])
     const registry = stored.snapshot.state === null ? createRegistry() : JSON.parse(stored.snapshot.state as string) as Registry
     const { index, term } = stored.snapshot
-    const state = createState(id, stored, now, random)
+    const state = createState(id, stored, 0, random)
     const runner = createEffectRunner(store, () => state.hardState, (effect) => runEffect(instance, effect))
-    const instance: Instance = { id, disk, state, store, registry, applied: index, appliedTerm: term, members: stored.snapshot.members, up: true, runner }
+    const instance: Instance = { id, disk, state, store, registry, applied: index, appliedTerm: term, members: stored.snapshot.members, up: true, runner, startedAt: now, frozenUntil: 0 }
     return instance
   }
   for (const id of ids) instances.set(id, boot(id, createMemoryDisk(), initialMembers))
@@ -96,11 +110,25 @@
       packets.push({ from, to, message: structuredClone(message), dueAt: now + 1 + random.below(copy === 0 ? 10 : 400) })
     }
   }
+  const isRunning = ({ up, frozenUntil }: Instance) => up && now >= frozenUntil
+  const clockOf = ({ startedAt }: Instance) => now - startedAt
   const advance = (instance: Instance, event: Event) => {
-    if (!instance.up || instance.runner.failure() !== undefined) return
-    instance.runner.run(step(instance.state, event, now, random))
+    if (!isRunning(instance) || instance.runner.failure() !== undefined) return
+    instance.runner.run(step(instance.state, event, clockOf(instance), random))
     recordLeader(instance)
   }
+  const leads = (instance: Instance) => isRunning(instance) && instance.runner.failure() === undefined && holdsLease(instance.state, clockOf(instance)) && hasCommittedInTerm(instance.state)
+  /** An instance must not hold its lease once another has committed an entry in a later term without it. */
+  const checkLeases = () => {
+    for (const holder of instances.values()) {
+      if (!leads(holder)) continue
+      const { term } = holder.state.hardState
+      for (const { id, state, up } of instances.values()) {
+        const violation = `${holder.id} holds its lease of term ${term} while ${id} commits in term ${state.hardState.term}`
+        if (up && state.hardState.term > term && hasCommittedInTerm(state) && !violations.includes(violation)) violations.push(violation)
+      }
+    }
+  }
   const recordLeader = ({ id, state }: Instance) => {
     if (state.role !== 'leader') return
     const known = leaders.get(state.hardState.term)
@@ -111,6 +139,12 @@
     if (effect.type === 'snapshot' && effect.restore) restore(instance, effect.snapshot)
     if (effect.type === 'send') send(instance.id, effect.to, effect.message)
     if (effect.type === 'apply') apply(instance, effect)
+    if (effect.type === 'confirm') confirm(instance, effect.id)
+  }
+  const confirm = (instance: Instance, read: string) => {
+    confirmed.add(read)
+    const floor = readFloors.get(read) ?? 0
+    if (instance.applied < floor) violations.push(`${instance.id} confirmed ${read} at ${instance.applied}, though ${floor} was acknowledged before it`)
   }
   const restore = (instance: Instance, snapshot: Snapshot) => {
     instance.registry = JSON.parse(snapshot.state as string) as Registry
@@ -127,7 +161,10 @@
     if (entry.payload.type === 'members') instance.members = entry.payload.members
     if (entry.payload.type !== 'command') return
     const result = applyCommand(instance.registry, entry.payload.command as Command)
-    if (instance.state.role === 'leader' && entry.term === instance.state.hardState.term) acknowledged.set(entry.id, result)
+    if (instance.state.role === 'leader' && entry.term === instance.state.hardState.term) {
+      acknowledged.set(entry.id, result)
+      acknowledgedIndex = Math.max(acknowledgedIndex, entry.index)
+    }
   }
   const compact = (instance: Instance) => {
     if (instance.applied - instance.state.snapshot.index < snapshotEvery) return
@@ -135,8 +172,10 @@
     advance(instance, { type: 'compact', snapshot: { index, term, members, state: JSON.stringify(instance.registry) } })
   }
   const deliver = () => {
-    const due = packets.filter((packet) => packet.dueAt <= now)
-    packets = packets.filter((packet) => packet.dueAt > now)
+    const isDue = ({ to, dueAt }: Packet) => dueAt <= now && (instances.get(to)?.frozenUntil ?? 0) <= now
+    // What waited for an instance that stood still arrived on several connections, which it reads in any order.
+    const due = sample(random, packets.filter(isDue), packets.length)
+    packets = packets.filter((packet) => !isDue(packet))
     for (const { from, to, message } of due) {
       const instance = instances.get(to)
       if (instance !== undefined && canReach(from, to)) advance(instance, { type: 'message', from, message })
@@ -156,6 +195,7 @@
           advance(instance, { type: 'tick' })
           compact(instance)
         }
+        checkLeases()
       }
     },
     propose (id, proposal, command) {
@@ -166,6 +206,15 @@
       const instance = instances.get(id)
       if (instance !== undefined) advance(instance, { type: 'change-members', id: '', members })
     },
+    read (id, read) {
+      const instance = instances.get(id)
+      readFloors.set(read, acknowledgedIndex)
+      if (instance !== undefined) advance(instance, { type: 'read', id: read })
+    },
+    freeze (id, ms) {
+      const instance = instances.get(id)
+      if (instance !== undefined) instance.frozenUntil = now + ms
+    },
     crash (id, keep) {
       const instance = instances.get(id)
       if (instance === undefined) return
@@ -197,11 +246,12 @@
     },
     leader () {
       for (const instance of instances.values()) {
-        if (instance.up && instance.runner.failure() === undefined && holdsLease(instance.state, now) && hasCommittedInTerm(instance.state)) return instance
+        if (leads(instance)) return instance
       }
       return undefined
     },
     acknowledged,
+    confirmed,
     violations
   }
 }
