Log store: what an earlier process wrote is synced before anybody answers for it

Cause: openLogStore took the end of the log as synced. Change: the log is synced when it is opened. Evidence: "entries that a killed process wrote and did not sync survive a loss of power once the store is open" failed before (3 entries of 4).

--- a/src/core/storage/log-store.ts
+++ b/src/core/storage/log-store.ts
@@ -66,6 +66,8 @@
   return succeed(records[0] as Snapshot)
 }
 
+const emptyContent = new Uint8Array(0)
+
 function encodeLog (hardState: HardState | undefined, entries: readonly Entry[]): Buffer {
   const records: Buffer[] = []
   if (hardState !== undefined) records.push(encodeRecord({ type: 'hard-state', hardState } satisfies LogRecord))
@@ -73,7 +75,7 @@
   return Buffer.concat(records)
 }
 
-/** Opens the log and the snapshot in a folder. A torn tail of the log is removed; any other damage is a failure. */
+/** Opens the log and the snapshot in a folder, and syncs what an earlier process wrote. A torn tail of the log is removed; any other damage is a failure. */
 export function openLogStore (disk: Disk, folder: string, initial: Snapshot): Outcome<OpenedStore> {
   const logPath = join(folder, 'log')
   const snapshotPath = join(folder, 'snapshot')
@@ -85,7 +87,9 @@
   if (!log.ok) return log
   const stored = replay(logPath, log.value.records as LogRecord[], snapshot ?? initial)
   if (!stored.ok) return stored
+  // A process that was killed may have written the end of the log and not synced it. It must not count as durable before it is.
   if (log.value.torn) disk.truncate(logPath, log.value.intactBytes)
+  else if (log.value.exists) disk.append(logPath, emptyContent)
   const fresh = snapshot === undefined && log.value.records.length === 0
   let syncedBytes = log.value.intactBytes
   /** A write failed: the log may end with a part of it, or with all of it unsynced. */
--- a/test/storage/log-store.test.ts
+++ b/test/storage/log-store.test.ts
@@ -103,6 +103,18 @@
   }), { seed: 5, numRuns: 300 })
 })
 
+// Guards against a member that answers for an entry which its earlier process wrote and did not sync, so that a loss of power can still take it.
+test('entries that a killed process wrote and did not sync survive a loss of power once the store is open', () => {
+  const disk = createFilledDisk(3)
+  const { store } = openStore(disk)
+  disk.faults = { skipSync: true }
+  store.save(undefined, [createEntry(4)])
+  disk.faults = {}
+  assert.equal(openStore(disk).stored.entries.length, 4)
+  disk.crash(0)
+  assert.equal(openStore(disk).stored.entries.length, 4)
+})
+
 test('a snapshot removes the entries that it covers from the log', () => {
   const disk = createFilledDisk(10)
   const snapshot: Snapshot = { index: 8, term: 1, members: [], state: 's' }
