--- a/src/core/membership/core.ts
+++ b/src/core/membership/core.ts
@@ -7,6 +7,9 @@
 import { statuses } from './types.ts'
 import type { Effect, Event, KnownMember, Member, Packet, Probe, State, Version } from './types.ts'
 
+/** Bound of the first sequence, which follows from the start of the process: an answer to its earlier process matches no probe of this one. */
+const sequenceBound = 2 ** 31
+
 /** Creates the initial state of a process, which knows only itself and its seeds. */
 export function createMembership (self: Member, seeds: readonly string[], now: number): State {
   return {
@@ -19,7 +22,7 @@
     relays: [],
     probeQueues: { near: [], far: [] },
     probesFarNext: false,
-    sequence: 0,
+    sequence: self.startedAt % sequenceBound,
     nextProbeAt: now,
     nextSyncAt: { near: now, far: now },
     nextSeedSyncAt: now,
@@ -394,15 +397,17 @@
 }
 
 function onAck (state: State, packet: Extract<Packet, { type: 'ack' }>, now: number, random: Random, effects: Effect[]): void {
-  state.probes = state.probes.filter((probe) => probe.sequence !== packet.sequence)
-  const relay = state.relays.find((candidate) => candidate.sequence === packet.sequence)
+  const { sequence, from } = packet
+  const isEarlierProcess = (state.known.get(from.id)?.member.startedAt ?? 0) > from.startedAt
+  if (!isEarlierProcess) state.probes = state.probes.filter((probe) => probe.sequence !== sequence || probe.id !== from.id)
+  const relay = state.relays.find((candidate) => candidate.sequence === sequence && candidate.target === from.address)
   if (relay !== undefined) send(relay.address, { ...packet, sequence: relay.originalSequence }, effects)
   checkDigest(state, packet, now, random, effects)
 }
 
 function onPingRequest (state: State, packet: Extract<Packet, { type: 'ping-request' }>, address: string, now: number, effects: Effect[]): void {
   const sequence = ++state.sequence
-  state.relays.push({ sequence, address, originalSequence: packet.sequence, expiresAt: now + probeTimeoutMs })
+  state.relays.push({ sequence, address, target: packet.address, originalSequence: packet.sequence, expiresAt: now + probeTimeoutMs })
   send(packet.address, { type: 'ping', sequence, from: state.self, updates: [], digest: listDigest(state) }, effects)
 }
 
--- a/src/core/membership/types.ts
+++ b/src/core/membership/types.ts
@@ -83,6 +83,8 @@
 export interface Relay {
   sequence: number
   address: string
+  /** Address of the member that is pinged. */
+  target: string
   originalSequence: number
   expiresAt: number
 }
