--- a/src/core/departures/client.ts
+++ b/src/core/departures/client.ts
@@ -59,6 +59,7 @@
 /** Creates the client. `restore` gets the departures of the earlier process, whenever somebody names them. */
 export function createDepartureClient (peers: ClientPeers, { clock, log, metrics }: Environment, hash: (text: string) => number, restore: (departures: readonly Departure[]) => void): DepartureClient {
   let told: ToldDeparture[] = []
+  /** Addresses that were asked: a control instance is first known by its address alone. */
   const asked = new Set<string>()
   const answered: Record<Holder['role'], number> = { control: 0, node: 0 }
   let isClosed = false
@@ -100,18 +101,18 @@
     return isNews ? Object.assign(known, { departure: combined, holders: new Set<string>(), toldAt: clock.now() }) : known
   }
 
-  const ask = async ({ key, address, role }: Holder) => {
-    asked.add(key)
+  const ask = async ({ address, role }: Holder) => {
+    asked.add(address)
     const reply = await peers.datagrams.request<RecallReply>(address, recallMethod, { node: peers.self().id } satisfies RecallRequest, messageTimeouts)
     if (isClosed) return
     const checked = reply.ok ? check(replySchema, reply.value) : undefined
-    if (checked?.ok !== true) return void asked.delete(key)
+    if (checked?.ok !== true) return void asked.delete(address)
     answered[role]++
     if (checked.value.departures.length > 0) restore(checked.value.departures)
   }
   const askAll = () => {
     for (const holder of findHolders(askedOfEach)) {
-      if (!asked.has(holder.key)) void ask(holder)
+      if (!asked.has(holder.address)) void ask(holder)
     }
   }
   const isAnswered = () => answered.control > 0 || answered.node > 0
--- a/test/departures/departures.test.ts
+++ b/test/departures/departures.test.ts
@@ -154,6 +154,19 @@
   }
 })
 
+// Guards against a control instance that counts as two, first by the address of a seed and then as a member.
+test('a control instance that answered before it was known as a member is not asked again', (context) => withNodes(context, ids, async (nodes) => {
+  await nodes.run(1500)
+  const before = nodes.calls('c1-a', 'departures.recall')
+  await nodes.kill('n1-a')
+  nodes.hide('c1-a', 'c2-b', 'c3-d', 'n2-a', 'n3-b', 'n4-d')
+  nodes.start('n1-a')
+  await nodes.run(200)
+  nodes.heal()
+  await nodes.run(1500)
+  assert.equal(nodes.calls('c1-a', 'departures.recall'), before + 1)
+}))
+
 test('holders that are restarted one after the other are told again', (context) => withNodes(context, ids, async (nodes) => {
   await nodes.run(1500)
   await settle(nodes, nodes.node('n1-a').announcements.announce(announcement('i-1', 10, 1)))
--- a/test/departures/simulated-nodes.ts
+++ b/test/departures/simulated-nodes.ts
@@ -37,6 +37,10 @@
   /** Cuts processes off from all others. */
   cut: (...ids: string[]) => void
   heal: () => void
+  /** Hides processes from the member lists of all others; they still answer. */
+  hide: (...ids: string[]) => void
+  /** Returns how often a method was called at a process. */
+  calls: (id: string, method: string) => number
   /** Advances the clock. */
   run: (ms: number) => Promise<void>
   now: () => number
@@ -51,6 +55,8 @@
   const environment: Environment = { clock, random: createRandom(1), log: silentLog, metrics: createMetrics() }
   const processes = new Map<string, Process>()
   const cutOff = new Set<string>()
+  const hidden = new Set<string>()
+  const calls = new Map<string, number>()
   const hash = (text: string) => [...text].reduce((sum, letter) => Math.imul(sum, 31) + letter.charCodeAt(0) >>> 0, 7)
 
   const canReach = (from: string, to: string) => processes.has(to) && !cutOff.has(from) && !cutOff.has(to)
@@ -59,6 +65,8 @@
     async request (address, method, params, { timeoutMs }) {
       await pause(1)
       if (canReach(id, address)) {
+        const name = `${address} ${method}`
+        calls.set(name, (calls.get(name) ?? 0) + 1)
         const value = processes.get(address)?.handlers.get(method)?.(structuredClone(params), id)
         await pause(1)
         if (canReach(id, address)) return { ok: true, value: structuredClone(value) as never }
@@ -77,7 +85,7 @@
     const datagrams = createFakeDatagrams(id, handlers)
     serveDepartures(datagrams, clock, () => {})
     if (role === 'control') return void processes.set(id, { member, handlers, close: async () => {} })
-    const members = () => [...processes.values()].map((process) => process.member).filter((other) => other.id === id || canReach(id, other.id))
+    const members = () => [...processes.values()].map((process) => process.member).filter((other) => other.id === id || (canReach(id, other.id) && !hidden.has(other.id)))
     const peers = { self: () => member, members, datagrams, controlAddresses: () => ids.filter((other) => other.startsWith('c')), setTarget () {} } as unknown as Peers
     const target = createOwnTarget(peers, environment, { drainMs, adaptiveLimit: false })
     const departures = createDepartureClient(peers, environment, hash, target.restore)
@@ -100,7 +108,12 @@
       kill,
       start,
       cut: (...cut) => cut.forEach((id) => cutOff.add(id)),
-      heal: () => cutOff.clear(),
+      heal: () => {
+        cutOff.clear()
+        hidden.clear()
+      },
+      hide: (...ids) => ids.forEach((id) => hidden.add(id)),
+      calls: (id, method) => calls.get(`${id} ${method}`) ?? 0,
       async run (ms) {
         for (const until = now + ms; now < until; now++) {
           context.mock.timers.tick(1)
