Departures beside processes of an earlier version; messages of the target in a file of their own name

While a release is on its way, members of the earlier version refuse departures.keep and .recall as unknown methods. Such an answer now counts as one that knows nothing: beside such members only, departures are acknowledged as in that version (503 before, until a member of the new version was there), and a restarted node doesn't wait. Test: "beside processes of an earlier version only, servers leave and come back as before". src/core/node/announcements.ts is target-messages.ts, as it stood beside announcement.ts; isSameProcess stands once.

--- a/src/core/departures/client.ts
+++ b/src/core/departures/client.ts
@@ -1,6 +1,8 @@
 import * as v from 'valibot'
 import { check } from '../config/index.ts'
 import type { Environment, Peers } from '../peers/index.ts'
+import { unknownMethodReason } from '../rpc/index.ts'
+import type { RpcResult } from '../rpc/index.ts'
 import { keepMethod, recallMethod } from './holder.ts'
 import type { KeepRequest, RecallReply, RecallRequest } from './holder.ts'
 import { rankHolders } from './ranking.ts'
@@ -54,6 +56,11 @@
   role: 'control' | 'node'
 }
 
+/** Returns true for the answer of an earlier version, which keeps nothing. Beside such members only, departures are acknowledged as in that version. */
+function isEarlierVersion (reply: RpcResult<unknown>): boolean {
+  return !reply.ok && reply.reason === unknownMethodReason
+}
+
 type ClientPeers = Pick<Peers, 'self' | 'members' | 'controlAddresses' | 'datagrams'>
 
 /** Creates the client. `restore` gets the departures of the earlier process, whenever somebody names them. */
@@ -75,7 +82,7 @@
     const { departure, holders } = entry
     const request = { node: peers.self().id, departures: [departure] } satisfies KeepRequest
     const reply = await peers.datagrams.request<boolean>(address, keepMethod, request, messageTimeouts)
-    if (reply.ok && reply.value === true) holders.add(key)
+    if (reply.ok ? reply.value === true : isEarlierVersion(reply)) holders.add(key)
     metrics.count(`departures_told_total{outcome="${reply.ok ? 'kept' : 'lost'}"}`)
   }
   const tellHolders = (entry: ToldDeparture): number => {
@@ -105,8 +112,8 @@
     asked.add(address)
     const reply = await peers.datagrams.request<RecallReply>(address, recallMethod, { node: peers.self().id } satisfies RecallRequest, messageTimeouts)
     if (isClosed) return
-    const checked = reply.ok ? check(replySchema, reply.value) : undefined
-    if (checked?.ok !== true) return void asked.delete(address)
+    const checked = check(replySchema, reply.ok ? reply.value : { departures: [] })
+    if (!checked.ok || !(reply.ok || isEarlierVersion(reply))) return void asked.delete(address)
     answered[role]++
     if (checked.value.departures.length > 0) restore(checked.value.departures)
   }
--- a/src/core/node/announcement.ts
+++ b/src/core/node/announcement.ts
@@ -69,8 +69,9 @@
   since: number
 }
 
-function isSameProcess (left: Incarnation, right: Incarnation): boolean {
-  return left.instance === right.instance && left.bornAt === right.bornAt
+/** Returns true when two messages are of the same process. Messages that do not identify their process are of none. */
+export function isSameProcess (left: Incarnation | undefined, right: Incarnation | undefined): boolean {
+  return left !== undefined && left.instance === right?.instance && left.bornAt === right.bornAt
 }
 
 /**
--- a/src/core/node/index.ts
+++ b/src/core/node/index.ts
@@ -1,5 +1,5 @@
 export type { Announcement, Incarnation } from './announcement.ts'
-export type { AnnouncementOutcome } from './announcements.ts'
+export type { AnnouncementOutcome } from './target-messages.ts'
 export { runHeader } from './constants.ts'
 export type { Dialect } from './dialect.ts'
 export { answerHeaders, requestHeaders } from './headers.ts'
--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -16,8 +16,8 @@
 import { createMeter } from '../rate/index.ts'
 import { readArrived } from '../turns/index.ts'
 import { createCallSender } from './attempts.ts'
-import { createAnnouncements } from './announcements.ts'
-import type { Announcements } from './announcements.ts'
+import { createTargetMessages } from './target-messages.ts'
+import type { TargetMessages } from './target-messages.ts'
 import { createBacklog, hasLeft } from './backlog.ts'
 import type { Backlog } from './backlog.ts'
 import { callerKeepAliveMs, contextHeader, leaveGraceMs, maxHeaderBytes, maxPeerBodyBytes, ownPathPrefix } from './constants.ts'
@@ -108,9 +108,9 @@
   peerAddress: string
   localAddress: string
   /** Records an announcement of the node's own target. */
-  announce: Announcements['announce']
+  announce: TargetMessages['announce']
   /** Deregisters a process of the node's own target. The outcome is "outdated" when another process is registered. */
-  withdraw: Announcements['withdraw']
+  withdraw: TargetMessages['withdraw']
   /** Returns true while callers may send requests to this node: it has a configuration and is not stopping. */
   isReady: () => boolean
   /** Leaves the cluster, waits for running requests until the stop timeout, then closes the node. The stop counts from `requestedAt`, by default from the call. */
@@ -126,7 +126,7 @@
   const peers = await createPeers({ id, boot: randomId(), role: 'node', domain, address, seeds, secrets, clients: options.clients?.peers }, environment)
   const target = createOwnTarget(peers, environment, { drainMs, adaptiveLimit, rankedWaiting, usesRoom: roomPlacement })
   const departures = createDepartureClient(peers, environment, hash, target.restore)
-  const announcements = createAnnouncements(target, departures, environment)
+  const targetMessages = createTargetMessages(target, departures, environment)
   const spans = createSpans()
   const dependencies = createDependencies(clock)
   const reportedFractions = createReportedFractions()
@@ -263,8 +263,8 @@
     listenAddress,
     peerAddress: peers.address,
     localAddress,
-    announce: announcements.announce,
-    withdraw: announcements.withdraw,
+    announce: targetMessages.announce,
+    withdraw: targetMessages.withdraw,
     isReady: () => stop === undefined && (dialect.configuredBy === 'templates' || directory.deployment() !== undefined),
     async stop (requestedAt) {
       log.info('node leaving', { id })
--- a/src/core/node/announcements.ts
+++ b/src/core/node/target-messages.ts
@@ -1,9 +1,10 @@
 import type { Departure, DepartureClient } from '../departures/index.ts'
 import type { Environment } from '../peers/index.ts'
+import { isSameProcess } from './announcement.ts'
 import type { Announcement, Incarnation } from './announcement.ts'
 import type { OwnTarget } from './target.ts'
 
-/** Announcements that wait until this process knows what its earlier one has acknowledged. */
+/** TargetMessages that wait until this process knows what its earlier one has acknowledged. */
 const maxWaiting = 32
 
 /**
@@ -19,7 +20,7 @@
 export type AnnouncementOutcome = 'taken' | 'outdated' | 'unshared'
 
 /** Messages of the own target, in the light of what an earlier process of this node has acknowledged. */
-export interface Announcements {
+export interface TargetMessages {
   announce: (announcement: Announcement) => Promise<AnnouncementOutcome>
   withdraw: (instance: string, bornAt: number | undefined) => Promise<AnnouncementOutcome>
 }
@@ -30,15 +31,11 @@
   since: number
 }
 
-function isSameProcess (left: Incarnation | undefined, right: Incarnation | undefined): boolean {
-  return left !== undefined && left.instance === right?.instance && left.bornAt === right.bornAt
-}
-
 /**
  * Creates the way of the target's messages. Until the others have said what they know, a target that announces itself waits: its message may be a late one of a
  * process that has left. One that leaves counts at once.
  */
-export function createAnnouncements (target: OwnTarget, departures: DepartureClient, { clock, log }: Pick<Environment, 'clock' | 'log'>): Announcements {
+export function createTargetMessages (target: OwnTarget, departures: DepartureClient, { clock, log }: Pick<Environment, 'clock' | 'log'>): TargetMessages {
   let waiting: Announcement[] | undefined = []
   let candidate: Candidate | undefined
   /** The leaving process, with the first message in which it said so. */
--- a/src/core/rpc/constants.ts
+++ b/src/core/rpc/constants.ts
@@ -6,3 +6,6 @@
 
 /** Largest JSON-RPC message, in bytes: room for one change of the largest configuration. */
 export const maxRpcBytes = 24 * 1024 * 1024
+
+/** Reason with which a process refuses a method that its version does not have. */
+export const unknownMethodReason = 'method not found'
--- a/src/core/rpc/datagrams.ts
+++ b/src/core/rpc/datagrams.ts
@@ -8,6 +8,7 @@
 import type { Sealer } from '../auth/index.ts'
 import type { RecordRefusal } from '../log/index.ts'
 import type { RecordSent, RpcResult } from './client.ts'
+import { unknownMethodReason } from './constants.ts'
 
 const methodNotFound = -32601
 const internalError = -32603
@@ -121,7 +122,7 @@
     if (!isJSONRPCRequest(message)) return recordRefusal(refusedCounter, `a message from ${from} is no JSON-RPC 2.0 message`)
     const handler = handlers.get(message.method)
     if (handler === undefined) {
-      if (message.id !== undefined) send(from, unknownMethod, createJSONRPCErrorResponse(message.id, methodNotFound, 'method not found'))
+      if (message.id !== undefined) send(from, unknownMethod, createJSONRPCErrorResponse(message.id, methodNotFound, unknownMethodReason))
       return
     }
     const answer = runHandler(handler, message, from)
--- a/test/departures/departures.test.ts
+++ b/test/departures/departures.test.ts
@@ -35,87 +35,87 @@
 // Guards against review/9: a restarted node forgot that its server had deregistered, and a late heartbeat brought it back into use.
 test('a late heartbeat after a restart of the node does not bring back a server that has deregistered', (context) => withNodes(context, ids, async (nodes) => {
   await nodes.run(1500)
-  await settle(nodes, nodes.node('n1-a').announcements.announce(announcement('i-1', 10, 1)))
+  await settle(nodes, nodes.node('n1-a').messages.announce(announcement('i-1', 10, 1)))
   assert.equal(isInUse(nodes, 'n1-a'), true)
-  const { outcome, afterMs } = await settle(nodes, nodes.node('n1-a').announcements.withdraw('i-1', 10))
+  const { outcome, afterMs } = await settle(nodes, nodes.node('n1-a').messages.withdraw('i-1', 10))
   assert.equal(outcome, 'taken')
   assert.ok(afterMs < 200, `acknowledged after ${afterMs} ms`)
   await restart(nodes, 'n1-a')
   await nodes.run(2000)
-  await settle(nodes, nodes.node('n1-a').announcements.announce(announcement('i-1', 10, 2)))
+  await settle(nodes, nodes.node('n1-a').messages.announce(announcement('i-1', 10, 2)))
   await nodes.run(2000)
   assert.equal(isInUse(nodes, 'n1-a'), false)
 }))
 
 test('a late heartbeat that comes before the others have answered does not bring it back either', (context) => withNodes(context, ids, async (nodes) => {
   await nodes.run(1500)
-  await settle(nodes, nodes.node('n1-a').announcements.announce(announcement('i-1', 10, 1)))
-  await settle(nodes, nodes.node('n1-a').announcements.withdraw('i-1', 10))
+  await settle(nodes, nodes.node('n1-a').messages.announce(announcement('i-1', 10, 1)))
+  await settle(nodes, nodes.node('n1-a').messages.withdraw('i-1', 10))
   await restart(nodes, 'n1-a')
-  await settle(nodes, nodes.node('n1-a').announcements.announce(announcement('i-1', 10, 2)))
+  await settle(nodes, nodes.node('n1-a').messages.announce(announcement('i-1', 10, 2)))
   await nodes.run(2000)
   assert.equal(isInUse(nodes, 'n1-a'), false)
 }))
 
 test('a late ready after a restart of the node does not bring back a server that is draining', (context) => withNodes(context, ids, async (nodes) => {
   await nodes.run(1500)
-  await settle(nodes, nodes.node('n1-a').announcements.announce(announcement('i-1', 10, 1)))
-  await settle(nodes, nodes.node('n1-a').announcements.announce(announcement('i-1', 10, 3, 'leaving')))
+  await settle(nodes, nodes.node('n1-a').messages.announce(announcement('i-1', 10, 1)))
+  await settle(nodes, nodes.node('n1-a').messages.announce(announcement('i-1', 10, 3, 'leaving')))
   await restart(nodes, 'n1-a')
   await nodes.run(1500)
-  await settle(nodes, nodes.node('n1-a').announcements.announce(announcement('i-1', 10, 2)))
+  await settle(nodes, nodes.node('n1-a').messages.announce(announcement('i-1', 10, 2)))
   assert.equal(isInUse(nodes, 'n1-a'), false)
-  await settle(nodes, nodes.node('n1-a').announcements.announce(announcement('i-1', 10, 4, 'leaving')))
+  await settle(nodes, nodes.node('n1-a').messages.announce(announcement('i-1', 10, 4, 'leaving')))
   assert.equal(isInUse(nodes, 'n1-a'), false)
-  await settle(nodes, nodes.node('n1-a').announcements.announce(announcement('i-1', 10, 5)))
+  await settle(nodes, nodes.node('n1-a').messages.announce(announcement('i-1', 10, 5)))
   assert.equal(isInUse(nodes, 'n1-a'), true, 'it has taken its leave back')
 }))
 
 test('a server that starts anew is in use at once, also where the node has been restarted', (context) => withNodes(context, ids, async (nodes) => {
   await nodes.run(1500)
-  await settle(nodes, nodes.node('n1-a').announcements.announce(announcement('i-1', 10, 1)))
-  await settle(nodes, nodes.node('n1-a').announcements.withdraw('i-1', 10))
+  await settle(nodes, nodes.node('n1-a').messages.announce(announcement('i-1', 10, 1)))
+  await settle(nodes, nodes.node('n1-a').messages.withdraw('i-1', 10))
   await restart(nodes, 'n1-a')
-  await settle(nodes, nodes.node('n1-a').announcements.announce(announcement('i-1', 2000, 1)))
+  await settle(nodes, nodes.node('n1-a').messages.announce(announcement('i-1', 2000, 1)))
   await nodes.run(300)
   assert.equal(isInUse(nodes, 'n1-a'), true)
 }))
 
 test('a server whose node is restarted is back in use within half a second', (context) => withNodes(context, ids, async (nodes) => {
   await nodes.run(1500)
-  await settle(nodes, nodes.node('n1-a').announcements.announce(announcement('i-1', 10, 1)))
+  await settle(nodes, nodes.node('n1-a').messages.announce(announcement('i-1', 10, 1)))
   await restart(nodes, 'n1-a')
-  await settle(nodes, nodes.node('n1-a').announcements.announce(announcement('i-1', 10, 2)))
+  await settle(nodes, nodes.node('n1-a').messages.announce(announcement('i-1', 10, 2)))
   await nodes.run(500)
   assert.equal(isInUse(nodes, 'n1-a'), true)
 }))
 
 test('a node that is cut off alone acknowledges no departure, and drains its server all the same', (context) => withNodes(context, ids, async (nodes) => {
   await nodes.run(1500)
-  await settle(nodes, nodes.node('n1-a').announcements.announce(announcement('i-1', 10, 1)))
+  await settle(nodes, nodes.node('n1-a').messages.announce(announcement('i-1', 10, 1)))
   nodes.cut('n1-a')
-  const { outcome, afterMs } = await settle(nodes, nodes.node('n1-a').announcements.withdraw('i-1', 10))
+  const { outcome, afterMs } = await settle(nodes, nodes.node('n1-a').messages.withdraw('i-1', 10))
   assert.equal(outcome, 'unshared')
   assert.ok(afterMs < 900, `answered after ${afterMs} ms; a caller waits a second`)
   await nodes.run(drainMs)
   assert.equal(isInUse(nodes, 'n1-a'), false)
   nodes.heal()
-  const { outcome: later } = await settle(nodes, nodes.node('n1-a').announcements.withdraw('i-1', 10))
+  const { outcome: later } = await settle(nodes, nodes.node('n1-a').messages.withdraw('i-1', 10))
   assert.equal(later, 'taken')
 }))
 
 test('a node restarted while it is cut off takes no single late heartbeat, and a server that goes on', (context) => withNodes(context, ids, async (nodes) => {
   await nodes.run(1500)
-  await settle(nodes, nodes.node('n1-a').announcements.announce(announcement('i-1', 10, 1)))
-  await settle(nodes, nodes.node('n1-a').announcements.withdraw('i-1', 10))
+  await settle(nodes, nodes.node('n1-a').messages.announce(announcement('i-1', 10, 1)))
+  await settle(nodes, nodes.node('n1-a').messages.withdraw('i-1', 10))
   nodes.cut('n1-a')
   await restart(nodes, 'n1-a')
-  await settle(nodes, nodes.node('n1-a').announcements.announce(announcement('i-1', 10, 2)))
+  await settle(nodes, nodes.node('n1-a').messages.announce(announcement('i-1', 10, 2)))
   await nodes.run(2000)
-  await settle(nodes, nodes.node('n1-a').announcements.announce(announcement('i-1', 10, 3)))
+  await settle(nodes, nodes.node('n1-a').messages.announce(announcement('i-1', 10, 3)))
   assert.equal(isInUse(nodes, 'n1-a'), false)
   for (const sequence of [1, 2, 3]) {
-    await settle(nodes, nodes.node('n1-a').announcements.announce(announcement('i-2', 5000, sequence)))
+    await settle(nodes, nodes.node('n1-a').messages.announce(announcement('i-2', 5000, sequence)))
     await nodes.run(1500)
   }
   assert.equal(isInUse(nodes, 'n1-a'), true, 'a server that goes on announcing itself is used')
@@ -123,12 +123,12 @@
 
 test('what the others know takes a server out of use that was taken for a live one while the node was cut off', (context) => withNodes(context, ids, async (nodes) => {
   await nodes.run(1500)
-  await settle(nodes, nodes.node('n1-a').announcements.announce(announcement('i-1', 10, 1)))
-  await settle(nodes, nodes.node('n1-a').announcements.withdraw('i-1', 10))
+  await settle(nodes, nodes.node('n1-a').messages.announce(announcement('i-1', 10, 1)))
+  await settle(nodes, nodes.node('n1-a').messages.withdraw('i-1', 10))
   nodes.cut('n1-a')
   await restart(nodes, 'n1-a')
   for (const sequence of [2, 3, 4, 5]) {
-    await settle(nodes, nodes.node('n1-a').announcements.announce(announcement('i-1', 10, sequence)))
+    await settle(nodes, nodes.node('n1-a').messages.announce(announcement('i-1', 10, sequence)))
     await nodes.run(1600)
   }
   assert.equal(isInUse(nodes, 'n1-a'), true, 'nobody could say otherwise')
@@ -141,19 +141,31 @@
   for (const killed of [['c1-a', 'n1-a', 'n2-a'], ['c1-a', 'c2-b', 'c3-d', 'n1-a']]) {
     await withNodes(context, ids, async (nodes) => {
       await nodes.run(1500)
-      await settle(nodes, nodes.node('n1-a').announcements.announce(announcement('i-1', 10, 1)))
-      await settle(nodes, nodes.node('n1-a').announcements.withdraw('i-1', 10))
+      await settle(nodes, nodes.node('n1-a').messages.announce(announcement('i-1', 10, 1)))
+      await settle(nodes, nodes.node('n1-a').messages.withdraw('i-1', 10))
       for (const id of killed) await nodes.kill(id)
       await nodes.run(300)
       for (const id of killed) nodes.start(id)
       await nodes.run(1500)
-      await settle(nodes, nodes.node('n1-a').announcements.announce(announcement('i-1', 10, 2)))
+      await settle(nodes, nodes.node('n1-a').messages.announce(announcement('i-1', 10, 2)))
       await nodes.run(1500)
       assert.equal(isInUse(nodes, 'n1-a'), false, killed.join())
     })
   }
 })
 
+test('beside processes of an earlier version only, servers leave and come back as before', (context) => withNodes(context, ids, async (nodes) => {
+  for (const id of ids) nodes.downgrade(id)
+  await nodes.run(1500)
+  await settle(nodes, nodes.node('n1-a').messages.announce(announcement('i-1', 10, 1)))
+  const { outcome } = await settle(nodes, nodes.node('n1-a').messages.announce(announcement('i-1', 10, 2, 'leaving')))
+  assert.equal(outcome, 'taken')
+  await restart(nodes, 'n1-a')
+  await settle(nodes, nodes.node('n1-a').messages.announce(announcement('i-2', 20, 1)))
+  await nodes.run(500)
+  assert.equal(isInUse(nodes, 'n1-a'), true)
+}))
+
 // Guards against a control instance that counts as two, first by the address of a seed and then as a member.
 test('a control instance that answered before it was known as a member is not asked again', (context) => withNodes(context, ids, async (nodes) => {
   await nodes.run(1500)
@@ -169,15 +181,15 @@
 
 test('holders that are restarted one after the other are told again', (context) => withNodes(context, ids, async (nodes) => {
   await nodes.run(1500)
-  await settle(nodes, nodes.node('n1-a').announcements.announce(announcement('i-1', 10, 1)))
-  await settle(nodes, nodes.node('n1-a').announcements.withdraw('i-1', 10))
+  await settle(nodes, nodes.node('n1-a').messages.announce(announcement('i-1', 10, 1)))
+  await settle(nodes, nodes.node('n1-a').messages.withdraw('i-1', 10))
   for (const id of ids.filter((other) => other !== 'n1-a')) {
     await restart(nodes, id)
     await nodes.run(1500)
   }
   await restart(nodes, 'n1-a')
   await nodes.run(1500)
-  await settle(nodes, nodes.node('n1-a').announcements.announce(announcement('i-1', 10, 2)))
+  await settle(nodes, nodes.node('n1-a').messages.announce(announcement('i-1', 10, 2)))
   assert.equal(isInUse(nodes, 'n1-a'), false)
 }))
 
--- a/test/departures/simulated-nodes.ts
+++ b/test/departures/simulated-nodes.ts
@@ -3,12 +3,13 @@
 import { silentLog } from '../../src/core/log/index.ts'
 import type { Member } from '../../src/core/membership/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
-import { createAnnouncements } from '../../src/core/node/announcements.ts'
-import type { Announcements } from '../../src/core/node/announcements.ts'
+import { createTargetMessages } from '../../src/core/node/target-messages.ts'
+import type { TargetMessages } from '../../src/core/node/target-messages.ts'
 import { createOwnTarget } from '../../src/core/node/target.ts'
 import type { OwnTarget } from '../../src/core/node/target.ts'
 import type { Environment, Peers } from '../../src/core/peers/index.ts'
 import { createRandom } from '../../src/core/random/index.ts'
+import { unknownMethodReason } from '../../src/core/rpc/index.ts'
 import type { Datagrams } from '../../src/core/rpc/index.ts'
 
 export const drainMs = 1600
@@ -25,7 +26,7 @@
 /** A node with its target. */
 export interface SimulatedNode extends Process {
   target: OwnTarget
-  announcements: Announcements
+  messages: TargetMessages
 }
 
 /** Processes on a network whose members all know each other, under a clock of the test. */
@@ -39,6 +40,8 @@
   heal: () => void
   /** Hides processes from the member lists of all others; they still answer. */
   hide: (...ids: string[]) => void
+  /** Makes a process one of an earlier version, which keeps no departures. */
+  downgrade: (id: string) => void
   /** Returns how often a method was called at a process. */
   calls: (id: string, method: string) => number
   /** Advances the clock. */
@@ -67,8 +70,10 @@
       if (canReach(id, address)) {
         const name = `${address} ${method}`
         calls.set(name, (calls.get(name) ?? 0) + 1)
-        const value = processes.get(address)?.handlers.get(method)?.(structuredClone(params), id)
+        const handler = processes.get(address)?.handlers.get(method)
+        const value = handler?.(structuredClone(params), id)
         await pause(1)
+        if (handler === undefined) return { ok: false, reason: unknownMethodReason }
         if (canReach(id, address)) return { ok: true, value: structuredClone(value) as never }
       }
       await pause(timeoutMs)
@@ -89,12 +94,12 @@
     const peers = { self: () => member, members, datagrams, controlAddresses: () => ids.filter((other) => other.startsWith('c')), setTarget () {} } as unknown as Peers
     const target = createOwnTarget(peers, environment, { drainMs, adaptiveLimit: false })
     const departures = createDepartureClient(peers, environment, hash, target.restore)
-    const announcements = createAnnouncements(target, departures, environment)
+    const messages = createTargetMessages(target, departures, environment)
     const close = async () => {
       departures.close()
       await target.close()
     }
-    processes.set(id, { member, handlers, close, target, announcements } as SimulatedNode)
+    processes.set(id, { member, handlers, close, target, messages } as SimulatedNode)
   }
   const kill = async (id: string) => {
     const killed = processes.get(id)
@@ -113,6 +118,7 @@
         hidden.clear()
       },
       hide: (...ids) => ids.forEach((id) => hidden.add(id)),
+      downgrade: (id) => processes.get(id)?.handlers.clear(),
       calls: (id, method) => calls.get(`${id} ${method}`) ?? 0,
       async run (ms) {
         for (const until = now + ms; now < until; now++) {
