Processes measure how late and how busy their event loop is, and count runs at the target by who ended them

Change: a meter in each process (event_loop_utilization, event_loop_lateness, one line processor_busy for each second at 0.8 and above), and runs_total{end}. No decision reads them yet.

--- a/src/core/control/control.ts
+++ b/src/core/control/control.ts
@@ -11,6 +11,7 @@
 import { closeServer, listen } from '../http/index.ts'
 import { createPeers } from '../peers/index.ts'
 import type { Environment, Peers } from '../peers/index.ts'
+import { createProcessorMeter, loopBusyMs } from '../processor/index.ts'
 import { applyCommand, configurationOf, createRegistry } from '../registry/index.ts'
 import type { Command, Registry } from '../registry/index.ts'
 import { createDisk, lockFolder, openLogStore } from '../storage/index.ts'
@@ -77,6 +78,7 @@
     secrets: options.secrets,
     clients: options.clients?.peers
   }, environment)
+  const processor = createProcessorMeter({ node: id, readBusyMs: loopBusyMs, readCounts: () => ({}), clock, log, metrics })
   const sendMessage = createMessageSender(id, peers, () => membersOf(group.state), metrics.count)
   let publishBeacon = () => {}
   const machine = {
@@ -150,6 +152,7 @@
       clearInterval(rateTimer)
       clearInterval(reconcileTimer)
       group.close()
+      processor.close()
       await peers.close()
       lock.value()
       log.info('control instance stopped', { id })
--- a/src/core/log/events.ts
+++ b/src/core/log/events.ts
@@ -187,6 +187,20 @@
   }>({ name: 'target_failures_changed', message: 'target fails requests by its own fault, or no longer does', volume: { lines: 2, bytes: 1024 } })
 } as const
 
+/** Events on the processor time of a process. */
+export const processorEvents = {
+  /** The event loop was nearly always busy in the last second. */
+  processorBusy: defineEvent<{
+    /** Part of the time in which the event loop was busy, 0 to 1. */
+    utilization: number
+    /** Largest time by which the event loop was late. */
+    latenessMs: number
+    elapsedMs: number
+    /** What the process has done meanwhile, by kind. */
+    counts: Record<string, number>
+  }>({ name: 'processor_busy', message: 'event loop nearly always busy', level: 'info', volume: { lines: 2, bytes: 1024 } })
+} as const
+
 /** Events on how a revision of the configuration reaches a process. Times are in ms, revisions count changes. */
 export const revisionEvents = {
   /** The process learned that a newer revision than its own is in force. */
--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -12,6 +12,7 @@
 import { createRequestLog } from '../log/index.ts'
 import { createPeers } from '../peers/index.ts'
 import type { Environment } from '../peers/index.ts'
+import { createProcessorMeter, loopBusyMs } from '../processor/index.ts'
 import { createRateClient } from '../rate/client.ts'
 import { createMeter } from '../rate/index.ts'
 import { readArrived } from '../turns/index.ts'
@@ -44,7 +45,7 @@
 import { createRoomShares } from './room-shares.ts'
 import { createRunningRequests, giveUpRunning } from './running.ts'
 import { createKeyCheck } from './key-check.ts'
-import { createCallServer } from './serve.ts'
+import { createCallServer, runEnds, runsMetric } from './serve.ts'
 import { abortResponse } from './sinks.ts'
 import { createSpans } from './spans.ts'
 import { beginsDuring, endStop } from './stop.ts'
@@ -131,6 +132,8 @@
   const dependencies = createDependencies(clock)
   const reportedFractions = createReportedFractions()
   const roomShares = options.roomShares === false ? undefined : createRoomShares(target.gate.heldRoom, environment)
+  const readRuns = () => Object.fromEntries(runEnds.map((end) => [end, metrics.value(runsMetric(end))]))
+  const processor = createProcessorMeter({ node: id, readBusyMs: loopBusyMs, readCounts: readRuns, clock, log, metrics })
   const ownFailures = roomPlacement ? createOwnFailures(clock) : undefined
   const claimHolder = serveClaims(peers, environment)
   const claims = createClaimClient(peers, environment, hash)
@@ -288,6 +291,7 @@
       peerSessions.close()
       clearInterval(reportTimer)
       roomLog.close()
+      processor.close()
       rates.close()
       callSender.close()
       roomShares?.close()
--- a/src/core/node/serve.ts
+++ b/src/core/node/serve.ts
@@ -40,6 +40,17 @@
 /** Status of an answer that says that a request took too long. */
 const timeoutStatus = 504
 
+/** How runs at the target end, as counted. */
+export const runEnds = ['good', 'failed', 'refused', 'timeout', 'cancelled', 'broken', 'not_sent'] as const
+type RunEnd = (typeof runEnds)[number]
+
+const runEndsByCause: Record<ExchangeError['cause'], RunEnd> = { connect: 'not_sent', timeout: 'timeout', cancelled: 'cancelled', broken: 'broken' }
+
+/** Returns the name of the counter of the runs that ended so. */
+export function runsMetric (end: RunEnd): string {
+  return `runs_total{end="${end}"}`
+}
+
 /** Serves calls with the node's own target. */
 export interface CallServer {
   serve: (call: Call, sink: Sink) => Promise<AttemptOutcome>
@@ -92,6 +103,13 @@
   return reason === 'stopping' ? fail('leaving') : fail('overloaded', { service, reason })
 }
 
+/** Who ended a run at the target, for the counts of runs: the target with its status, or this node at the deadline, for a caller that left, or as the exchange broke. */
+function runEndOf (status: number, isRefused: boolean, error: ExchangeError | undefined): RunEnd {
+  if (error !== undefined) return error.written ? runEndsByCause[error.cause] : 'not_sent'
+  if (isRefused) return 'refused'
+  return status >= firstServerErrorStatus ? 'failed' : 'good'
+}
+
 /** Returns how a request ended at the target, for the target's room. Without a sample it was cancelled or never got there. */
 function resultOf (sample: { failed: boolean } | undefined, status: number, isRefused: boolean): RequestResult {
   if (sample === undefined) return 'cancelled'
@@ -328,6 +346,7 @@
         return false
       },
       end () {
+        metrics.count(runsMetric(runEndOf(status, targetRefused, undefined)))
         if (targetRefused) {
           if (requestId !== undefined) refusedIds.add(pool, requestId, call.deadlineAt)
           return finishRun(refuseNotRun(call, status, instance, claim), { failed: true })
@@ -344,6 +363,7 @@
         })
       },
       error (error) {
+        metrics.count(runsMetric(runEndOf(status, targetRefused, error)))
         if (error.written && error.cause !== 'cancelled') recordOwnEnd(error.cause === 'timeout' ? 'timeout' : 'failed')
         decisions.recordTargetFailure(call, { error, instance, startedAt })
         void handleExchangeError(call, sink, claim, span, error).then(({ outcome, sample }) => finishRun(outcome, sample))
--- /dev/null
+++ b/src/core/processor/index.ts
@@ -0,0 +1,2 @@
+export { createProcessorMeter, loopBusyMs } from './meter.ts'
+export type { ProcessorMeter, ProcessorMeterOptions, ProcessorReading } from './meter.ts'
