Shares of the room: the processor time of a target's node is a room of its own

Cause: shares were divided by the slots of the target alone. The four nodes beside the last service were out of processor time, which nothing knew: what waited lay in the system's buffers.

--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -131,9 +131,10 @@
   const spans = createSpans()
   const dependencies = createDependencies(clock)
   const reportedFractions = createReportedFractions()
-  const roomShares = options.roomShares === false ? undefined : createRoomShares(target.gate.heldRoom, environment)
   const readRuns = () => Object.fromEntries(runEnds.map((end) => [end, metrics.value(runsMetric(end))]))
   const processor = createProcessorMeter({ node: id, readBusyMs: loopBusyMs, readCounts: readRuns, clock, log, metrics })
+  let otherRequests = 0
+  const roomShares = options.roomShares === false ? undefined : createRoomShares(target.gate.heldRoom, environment, () => ({ ...processor.read(), otherRequests }))
   const ownFailures = roomPlacement ? createOwnFailures(clock) : undefined
   const claimHolder = serveClaims(peers, environment)
   const claims = createClaimClient(peers, environment, hash)
@@ -193,6 +194,7 @@
   const trackResponse = (request: IncomingMessage, response: ServerResponse, serve: () => Promise<void>) => {
     const id = request.headers[dialect.requestIdHeader]?.toString()
     response.once('close', running.begin({ id, source: 'caller', giveUp: () => giveUp(response) }))
+    otherRequests++
     backlog.run(() => {
       if (hasLeft(request, response)) {
         metrics.count('requests_abandoned_total')
--- a/src/core/node/room-shares.ts
+++ b/src/core/node/room-shares.ts
@@ -1,5 +1,5 @@
-import { createCredits, createAllocator, createStatements, mayBegin, ownShareOf, pruneCredits, pruneStatements, recordArrival, recordDeparture, recordStart, recordStatement, reportedCalmMs, reportedShare, statedShareOf, updateAllocator } from '../shares/index.ts'
-import type { RequestClass, ClassState, Allocator, Departure } from '../shares/index.ts'
+import { createCredits, createAllocator, createStatements, mayBegin, ownShareOf, pruneCredits, pruneStatements, readIdle, recordArrival, recordDeparture, recordStart, recordStatement, reportedCalmMs, reportedShare, statedShareOf, updateAllocator } from '../shares/index.ts'
+import type { RequestClass, ClassState, Allocator, Departure, ProcessorUse } from '../shares/index.ts'
 import type { Environment } from '../peers/index.ts'
 import { inProgressPriority } from './constants.ts'
 import { calleeKey } from './types.ts'
@@ -60,7 +60,8 @@
 /** Exposes the shares of the classes that have been short. */
 function createExposure (allocator: Allocator, { metrics }: Environment) {
   const exposed = new Set<string>()
-  metrics.gauge('room_divided', () => allocator.divided)
+  metrics.gauge('room_divided', () => allocator.slots.divided)
+  metrics.gauge('calls_carried', () => allocator.calls.divided * 1000)
   return () => {
     for (const { name, rank, isInProgress, share } of allocator.classes.values()) {
       if (share === 1 || exposed.has(name) || exposed.size >= maxExposedClasses) continue
@@ -83,15 +84,16 @@
     const becomesShort = !isShort && classes.some(({ share }) => share < reportedShare)
     if (!becomesShort && !(isShort && now - shortAt >= reportedCalmMs)) return
     isShort = becomesShort
-    const room = Math.round(allocator.divided)
-    if (!isShort) return log.info('room of the target is no longer short', { room })
+    const room = Math.round(allocator.slots.divided)
+    const callsPerSecond = Number.isFinite(allocator.calls.divided) ? Math.round(1000 * allocator.calls.divided) : null
+    if (!isShort) return log.info('room of the target is no longer short', { room, callsPerSecond })
     const lines = classes.map(({ name, share, demand }) => ({ class: name, share: Math.round(100 * share) / 100, demand: Math.round(demand) }))
-    log.info('room of the target is short', { room, classes: lines.toSorted((a, b) => a.share - b.share).slice(0, maxLoggedClasses) })
+    log.info('room of the target is short', { room, isSlotsShort: allocator.slots.isDividing, callsPerSecond, isProcessorShort: allocator.calls.isDividing, classes: lines.toSorted((a, b) => a.share - b.share).slice(0, maxLoggedClasses) })
   }
 }
 
-/** Creates the shares of a node whose own target has `room()`. */
-export function createRoomShares (room: () => number, environment: Environment): RoomShares {
+/** Creates the shares of a node whose own target has `room()` and which itself has used its processor as `readUse()` says. */
+export function createRoomShares (room: () => number, environment: Environment, readUse: () => ProcessorUse = readIdle): RoomShares {
   const { clock, random } = environment
   const allocator = createAllocator(clock.now())
   const statements = createStatements()
@@ -106,7 +108,7 @@
   timer.unref()
   const update = () => {
     const { windowAt } = allocator
-    updateAllocator(allocator, room(), clock.now())
+    updateAllocator(allocator, room(), clock.now(), readUse)
     if (allocator.windowAt === windowAt) return
     if (allocator.isShort) exposeShares()
     logState()
--- a/src/core/shares/allocator.ts
+++ b/src/core/shares/allocator.ts
@@ -1,5 +1,7 @@
-import { assumedAccepted, callsPerRequest, dividedFraction, drainMs, feedbackWindows, holdingMemoryMs, manyEnds, maxClasses, maxDrainFraction, minShare, refusalMemoryMs, shortAfterMs, shortAfterRequests, smoothingMs, sparseHoldingMemoryMs, toleratedRefusalFraction, windowMs } from './constants.ts'
+import { assumedAccepted, callsPerRequest, dividedFraction, drainMs, feedbackWindows, holdingMemoryMs, manyEnds, maxClasses, maxDrainFraction, maxFeedbackWindows, minShare, refusalMemoryMs, shortAfterMs, shortAfterRequests, smoothingMs, sparseHoldingMemoryMs, toleratedRefusalFraction, windowMs } from './constants.ts'
 import { divideRoom } from './divide.ts'
+import { arrivalsPerRead, carriedCalls, createProcessorRoom, measureProcessor, readIdle } from './processor.ts'
+import type { ProcessorRoom, ProcessorUse } from './processor.ts'
 
 /** Arrivals per ms below which a class without requests is forgotten. */
 const forgottenBelow = 1e-4
@@ -16,6 +18,16 @@
 /** How a request left a target or the queue before it. */
 export type Departure = 'not-started' | 'ended' | 'refused'
 
+/** Whether more is asked for of a room than there is, and what is divided then. */
+export interface Division {
+  /** Work asked for beyond the room, in units of the room times ms, as if nothing were refused. It shrinks while there is room. */
+  excess: number
+  /** True from when `excess` is more than a queue takes up until it is gone. */
+  isDividing: boolean
+  /** What was divided last. */
+  divided: number
+}
+
 /** Requests of one class at a target. */
 export interface ClassState {
   name: string
@@ -56,19 +68,22 @@
   /** Decayed counts of the requests that the target accepted and refused. */
   accepted: number
   refused: number
-  /** Work asked for beyond the room, in requests held at once times ms, as if nothing were refused. It shrinks while there is room. */
-  excess: number
-  /** True from when `excess` is more than a queue takes up until it is gone. */
-  isDividing: boolean
-  /** Room that was divided last, in requests held at once. */
-  divided: number
+  /** Division of the target's room, in requests held at once. */
+  slots: Division
+  /** Division of the processor time of the target's node, in calls per ms. */
+  calls: Division
+  processor: ProcessorRoom
   /** True while the share of some class is below 1. */
   isShort: boolean
 }
 
 /** Creates the allocator of a target that has no requests. */
 export function createAllocator (now: number): Allocator {
-  return { classes: new Map(), windowAt: now, accepted: 0, refused: 0, excess: 0, isDividing: false, divided: 0, isShort: false }
+  return { classes: new Map(), windowAt: now, accepted: 0, refused: 0, slots: createDivision(), calls: createDivision(), processor: createProcessorRoom(), isShort: false }
+}
+
+function createDivision (): Division {
+  return { excess: 0, isDividing: false, divided: 0 }
 }
 
 /** Returns the name of a request's class: direct requests by route and rank, calls of requests in progress by rank. */
@@ -159,20 +174,33 @@
   return (accepted + assumedAccepted) / (accepted + refused + assumedAccepted)
 }
 
+/** What holds for all classes in a window. */
+interface Measurement {
+  /** Part of the requests that the target accepted lately. */
+  accepted: number
+  /** Time from a share in force until the calls of the requests begun under it are read. */
+  feedbackMs: number
+  /** Calls that came for each one that was read. */
+  arrivalsPerRead: number
+  elapsedMs: number
+  now: number
+}
+
 /**
  * Closes the window of a class: updates the demand that there would be if nothing were turned away because of the room. What the target itself refuses
  * holds no slot, and often comes again at once.
  */
-function measure (state: ClassState, accepted: number, elapsedMs: number, now: number): void {
+function measure (state: ClassState, { accepted, feedbackMs, arrivalsPerRead, elapsedMs, now }: Measurement): void {
   integrate(state, now)
   const decay = Math.exp(-elapsedMs / (state.endedSum < manyEnds ? sparseHoldingMemoryMs : holdingMemoryMs))
   state.heldSum = state.heldSum * decay + state.held
   state.endedSum = state.endedSum * decay + state.ended
   state.recentShares.push(state.arrived > 0 ? state.heardShares / state.arrived : state.recentShares.at(-1) ?? 1)
-  if (state.recentShares.length > feedbackWindows + 1) state.recentShares.shift()
+  if (state.recentShares.length > maxFeedbackWindows + 1) state.recentShares.shift()
+  const begunUnder = state.recentShares.at(-1 - Math.round(feedbackMs / windowMs)) ?? state.recentShares[0]
   const weight = 1 - Math.exp(-elapsedMs / smoothingMs)
-  state.arrivalMean += weight * (state.arrived / elapsedMs - state.arrivalMean)
-  state.shareMean += weight * (state.recentShares[0] - state.shareMean)
+  state.arrivalMean += weight * (arrivalsPerRead * state.arrived / elapsedMs - state.arrivalMean)
+  state.shareMean += weight * (begunUnder - state.shareMean)
   state.demand = accepted * state.arrivalMean / Math.max(minShare, state.shareMean) * holdingMsOf(state)
   Object.assign(state, { held: 0, arrived: 0, heardShares: 0, ended: 0 })
 }
@@ -182,43 +210,86 @@
   return Math.min(1, acceptedFraction(allocator) / (1 - toleratedRefusalFraction)) ** callsPerRequest
 }
 
-/** Updates whether more is asked for than a queue takes up. Chance makes demand exceed the room for moments long before it does so in the mean. */
-function updateExcess (allocator: Allocator, elapsedMs: number): void {
+/** Returns the calls per ms that would come for a class if none were refused. */
+function callDemandOf ({ arrivalMean, shareMean }: ClassState): number {
+  return arrivalMean / Math.max(minShare, shareMean)
+}
+
+/**
+ * Updates whether more is asked for than a queue takes up, of which one request has `requestWork`. Chance makes demand exceed the room for moments long
+ * before it does so in the mean.
+ */
+function updateDivision (division: Division, demand: number, divided: number, requestWork: number, elapsedMs: number): void {
+  division.divided = divided
+  const most = divided * shortAfterMs + shortAfterRequests * requestWork
+  division.excess = Math.min(2 * most, Math.max(0, division.excess + (demand - divided) * elapsedMs))
+  if (division.excess >= most) division.isDividing = true
+  else if (division.excess === 0) division.isDividing = false
+}
+
+/** Divides the target's room, of which `backlog` is needed for what waits. */
+function updateSlots ({ slots, classes }: Allocator, room: number, backlog: number, elapsedMs: number): void {
   let [demand, arrivals] = [0, 0]
-  for (const state of allocator.classes.values()) {
+  for (const state of classes.values()) {
     demand += state.demand
     arrivals += state.demand === 0 ? 0 : state.demand / holdingMsOf(state)
   }
-  const requestWork = arrivals === 0 ? 0 : demand / arrivals
-  const most = allocator.divided * shortAfterMs + shortAfterRequests * requestWork
-  allocator.excess = Math.min(2 * most, Math.max(0, allocator.excess + (demand - allocator.divided) * elapsedMs))
-  if (allocator.excess >= most) allocator.isDividing = true
-  else if (allocator.excess === 0) allocator.isDividing = false
+  const divided = dividedFraction * room - Math.min(backlog / drainMs, maxDrainFraction * room)
+  updateDivision(slots, demand, divided, arrivals === 0 ? 0 : demand / arrivals, elapsedMs)
 }
 
-/** Closes the window that has ended, if any, and divides the room anew. `room` is the number of requests that the target works on well at once. */
-export function updateAllocator (allocator: Allocator, room: number, now: number): void {
+/** Divides the processor time of the target's node. */
+function updateCalls ({ calls, processor, classes }: Allocator, elapsedMs: number): void {
+  let demand = 0
+  for (const state of classes.values()) demand += callDemandOf(state)
+  const carried = carriedCalls(processor, demand)
+  if (carried === Infinity) Object.assign(calls, createDivision(), { divided: Infinity })
+  else updateDivision(calls, demand, carried, 1, elapsedMs)
+}
+
+/** Returns the fraction of each class that is served of a room. */
+function fractionsOf ({ isDividing, divided }: Division, states: readonly ClassState[], amountOf: (state: ClassState) => number): number[] {
+  if (!isDividing) return states.map(() => 1)
+  return divideRoom(states.map((state) => ({ rank: state.rank, amount: amountOf(state) })), divided)
+}
+
+/**
+ * Closes the window that has ended, if any, and divides anew what there is: the room of the target, which is the number of requests that it works on
+ * well at once, and the processor time of its node. A class gets the smaller part of both.
+ */
+export function updateAllocator (allocator: Allocator, room: number, now: number, readUse: () => ProcessorUse = readIdle): void {
   const elapsedMs = now - allocator.windowAt
   if (elapsedMs < windowMs) return
   allocator.windowAt = now
-  let backlog = 0
+  let [backlog, arrived] = [0, 0]
   const accepted = acceptedFraction(allocator)
+  const use = readUse()
+  const measurement: Measurement = {
+    accepted,
+    feedbackMs: Math.min(maxFeedbackWindows * windowMs, feedbackWindows * windowMs + use.latenessMs),
+    arrivalsPerRead: arrivalsPerRead(allocator.processor, use, elapsedMs),
+    elapsedMs,
+    now
+  }
   for (const state of allocator.classes.values()) {
-    measure(state, accepted, elapsedMs, now)
+    arrived += state.arrived
+    measure(state, measurement)
     backlog += state.waiting * holdingMsOf(state)
     if (state.running + state.waiting === 0 && state.arrivalMean < forgottenBelow) allocator.classes.delete(state.name)
   }
   const decay = Math.exp(-elapsedMs / refusalMemoryMs)
   allocator.accepted *= decay
   allocator.refused *= decay
-  allocator.divided = dividedFraction * room - Math.min(backlog / drainMs, maxDrainFraction * room)
-  updateExcess(allocator, elapsedMs)
+  measureProcessor(allocator.processor, use, arrived, elapsedMs)
+  updateSlots(allocator, room, backlog, elapsedMs)
+  updateCalls(allocator, elapsedMs)
   const states = [...allocator.classes.values()]
-  const fractions = allocator.isDividing ? divideRoom(states.map(({ rank, demand }) => ({ rank, amount: demand })), allocator.divided) : states.map(() => 1)
+  const bySlots = fractionsOf(allocator.slots, states, ({ demand }) => demand)
+  const byCalls = fractionsOf(allocator.calls, states, callDemandOf)
   const completed = completedFraction(allocator)
   allocator.isShort = false
   for (const [index, state] of states.entries()) {
-    state.share = Math.max(minShare, Math.min(fractions[index], state.isInProgress ? completed : 1))
+    state.share = Math.max(minShare, Math.min(bySlots[index], byCalls[index], state.isInProgress ? completed : 1))
     if (state.share < 1) allocator.isShort = true
   }
 }
--- a/src/core/shares/constants.ts
+++ b/src/core/shares/constants.ts
@@ -16,6 +16,9 @@
 /** Windows from a share in force until the calls of the requests begun under it are counted. */
 export const feedbackWindows = 3
 
+/** The same at most, when the node reads the calls late. */
+export const maxFeedbackWindows = 8
+
 /** Fraction of the room that is divided; the rest takes up the randomness of arrivals. */
 export const dividedFraction = 0.95
 
@@ -31,6 +34,18 @@
 /** Largest fraction of the room that is kept for waiting requests. */
 export const maxDrainFraction = 0.5
 
+/** Part of the time for which an event loop may be busy; the rest takes up the randomness of arrivals. */
+export const loopFraction = 0.85
+
+/** The same at least, whatever else keeps the loop busy beside requests. */
+export const minLoopFraction = 0.25
+
+/** Largest change of the lateness of an event loop in relation to the time passed that counts, up or down. */
+export const maxLatenessGrowth = 0.67
+
+/** Longest busy time that is put down to one request, in milliseconds. */
+export const maxRequestMs = 5
+
 /** Smallest share: some requests must be begun to notice that there is room again. */
 export const minShare = 0.03
 
--- a/src/core/shares/index.ts
+++ b/src/core/shares/index.ts
@@ -7,3 +7,5 @@
 export type { RequestClass, ClassState, Allocator, Departure } from './allocator.ts'
 export { createStatements, pruneStatements, recordStatement, statedShareOf } from './statements.ts'
 export type { StatementSource, Statements } from './statements.ts'
+export { readIdle } from './processor.ts'
+export type { ProcessorUse } from './processor.ts'
--- a/test/shares/load.ts
+++ b/test/shares/load.ts
@@ -36,6 +36,10 @@
   entries?: (seconds: number) => number
   /** False for entries that begin every request. Default: true. */
   isLimited?: boolean
+  /** Processor time of the node beside each target, in ms, for a call that it reads and for its answer. Each node does one thing at a time. Default: none. */
+  processorMs?: { call: number, answer: number }
+  /** Time after which a call is given up by its sender, in ms. Default: the deadline of its request. */
+  callTimeoutMs?: number
 }
 
 /** What became of the requests of one route, or of one of its workspaces, in one second. */
@@ -50,16 +54,19 @@
   shares: (name: string, from: number, to: number) => number[]
 }
 
-interface Target { admission: Admission, allocator: Allocator, waiting: Map<string, { start: () => void, shed: () => void }> }
+interface Target { admission: Admission, allocator: Allocator, waiting: Map<string, { start: () => void, shed: () => void }>, processor: Processor }
+
+/** Processor of a target's node: when it is free, for how long it was busy until then, and how long the work that was done last had waited. */
+interface Processor { freeAt: number, busyMs: number, latenessMs: number }
 
 const targetCount = 4
 
 /** Plays a load on entry nodes, relays between, and four targets of the last service, under a virtual clock. */
-export function play ({ routes, seconds, slots = 60, speed = () => 1, refused = () => 0, entries = () => 60, isLimited = true }: Load, seed = 1): Played {
+export function play ({ routes, seconds, slots = 60, speed = () => 1, refused = () => 0, entries = () => 60, isLimited = true, processorMs, callTimeoutMs }: Load, seed = 1): Played {
   const timeline = createTimeline()
   const random = createRandom(seed)
   const { now, after } = timeline
-  const targets: Target[] = Array.from({ length: targetCount }, () => ({ admission: createAdmission(slots, 0, false), allocator: createAllocator(0), waiting: new Map() }))
+  const targets: Target[] = Array.from({ length: targetCount }, () => ({ admission: createAdmission(slots, 0, false), allocator: createAllocator(0), waiting: new Map(), processor: { freeAt: 0, busyMs: 0, latenessMs: 0 } }))
   const relays = Array.from({ length: 4 }, createStatements)
   const entryNodes = Array.from({ length: 60 }, () => ({ statements: createStatements(), credits: createCredits() }))
   const tallies = new Map<string, Tally[]>()
@@ -82,20 +89,50 @@
     const [left, right] = [random.below(targetCount), random.below(targetCount)]
     return loadOfTarget(targets[left]) <= loadOfTarget(targets[right]) ? left : right
   }
-  /** Runs one call at the last service. */
-  const call = (route: RouteLoad, heardShare: number, deadlineAt: number, done: (ok: boolean, node: string, share: number) => void) => {
+  /** Runs `work` on the node's processor once it has done what came before. */
+  const process = ({ processor }: Target, costMs: number, work: () => void) => {
+    if (costMs === 0) return work()
+    const latenessMs = Math.max(0, processor.freeAt - now())
+    processor.freeAt = Math.max(now(), processor.freeAt) + costMs
+    processor.busyMs += costMs
+    after(processor.freeAt - now(), () => {
+      processor.latenessMs = latenessMs
+      work()
+    })
+  }
+  const update = ({ allocator, processor }: Target) => {
+    const ahead = Math.max(0, processor.freeAt - now())
+    updateAllocator(allocator, slots, now(), () => ({ busyMs: processor.busyMs - ahead, latenessMs: processor.latenessMs, otherRequests: 0 }))
+  }
+  /** Sends one call to a target of the last service, until the call ends or is given up. */
+  const call = (route: RouteLoad, heardShare: number, deadlineAt: number, done: (ok: boolean, node: string, share: number | undefined) => void) => {
     const index = chooseTarget()
+    const target = targets[index]
+    const sentAt = now()
+    let isOver = false
+    const over = (ok: boolean, share?: number) => {
+      if (isOver) return
+      isOver = true
+      done(ok, `${index}`, share)
+    }
+    if (callTimeoutMs !== undefined) after(callTimeoutMs, () => over(false))
+    process(target, processorMs?.call ?? 0, () => {
+      if (!isOver) serve(index, route, heardShare, Math.min(deadlineAt, sentAt + (callTimeoutMs ?? Infinity)), (ok, share) => process(target, processorMs?.answer ?? 0, () => over(ok, share)))
+    })
+  }
+  /** Runs one call that the node of a target has read. */
+  const serve = (index: number, route: RouteLoad, heardShare: number, deadlineAt: number, done: (ok: boolean, share: number) => void) => {
     const target = targets[index]
     const { allocator, admission } = target
     const isInProgress = route.calls > 0
     const kind = { route: route.name, rank: route.rank, isInProgress }
     const id = `${sequence++}`
-    updateAllocator(allocator, slots, now())
+    update(target)
     const state: ClassState = recordArrival(allocator, kind, heardShare, now())
     const end = (ok: boolean) => {
-      updateAllocator(allocator, slots, now())
+      update(target)
       target.waiting.delete(id)
-      done(ok, `${index}`, ownShareOf(allocator, kind))
+      done(ok, ownShareOf(allocator, kind))
     }
     target.waiting.set(id, {
       shed () {
@@ -131,14 +168,14 @@
     const deadlineAt = cameAt + deadlineMs
     if (route.calls === 0) {
       return call(route, share, deadlineAt, (ok, node, stated) => {
-        recordStatement(entry.statements, { callee: name, rank, node }, { share: stated, room: slots }, now())
+        if (stated !== undefined) recordStatement(entry.statements, { callee: name, rank, node }, { share: stated, room: slots }, now())
         if (ok) count('well', cameAt)
       })
     }
     const relayIndex = random.below(relays.length)
     const relay = relays[relayIndex]
     const callNext = (left: number) => call(route, statedShareOf(relay, 'last', rank, now()), deadlineAt, (ok, node, stated) => {
-      recordStatement(relay, { callee: 'last', rank, node }, { share: stated, room: slots }, now())
+      if (stated !== undefined) recordStatement(relay, { callee: 'last', rank, node }, { share: stated, room: slots }, now())
       if (ok && left > 1) return after(betweenCallsMs, () => callNext(left - 1))
       const passedOn = statedShareOf(relay, 'last', rank, now())
       after(wayMs / 2, () => {
--- a/test/shares/loads.test.ts
+++ b/test/shares/loads.test.ts
@@ -134,3 +134,34 @@
     assert.equal(begun, offered)
   }
 })
+
+/** A node that reads 1,250 calls a second at most, beside a target with room for more than twice as many: 0.53 of what the targets bear. */
+const shortProcessor = { slots: 120, processorMs: { call: 0.5, answer: 0.3 }, callTimeoutMs: 700 }
+
+/** Requests of eight calls that ask for `times` what the processors of the nodes beside the targets carry. */
+function eightCallsOfProcessors (times: (seconds: number) => number): RouteLoad {
+  return { name: 'many', rank: 2, calls: 8, rate: (seconds) => times(seconds) * 4 * 1250 / 8 }
+}
+
+// Issue 55: nodes beside the last service ran out of processor time, which no decision knew.
+for (const times of [1.5, 2, 3]) {
+  test(`nodes of the last service short of processor time by ${times}: what is begun ends well and most of that time is used for it`, () => {
+    const played = play({ ...shortProcessor, routes: [eightCallsOfProcessors(() => times)], seconds: 20 })
+    assert.ok(endedWell(played, 'many', 5, 18) > 0.95)
+    assert.ok(served(played, 'many', 5, 18) > 0.7 / times)
+    assert.ok(deviationOf(played.shares('many', 8, 18)) < 0.1)
+  })
+}
+
+test('a burst beyond the processor time of the nodes of the last service: all is begun again within three seconds after it', () => {
+  const played = play({ ...shortProcessor, routes: [eightCallsOfProcessors((seconds) => seconds >= 5 && seconds < 12 ? 2 : 0.6)], seconds: 22 })
+  assert.ok(served(played, 'many', 1, 5) > 0.99)
+  assert.ok(endedWell(played, 'many', 8, 12) > 0.9)
+  assert.ok(timeUntilAll(played, 'many', 12, 20) <= 3)
+})
+
+test('processor time that suffices limits nobody', () => {
+  const played = play({ ...shortProcessor, routes: [eightCallsOfProcessors(() => 0.75)], seconds: 15 })
+  assert.ok(played.shares('many', 0, 15).every((share) => share === 1))
+  assert.ok(served(played, 'many', 0, 13) > 0.99)
+})
