A call costs less at the nodes that carry it: headers, digests, contexts and reports are made once

Change: one-shot hashes, one context, no set for usual values, bounds passed as they are, one report an answer. Behaviour is unchanged.

--- a/src/core/auth/keys.ts
+++ b/src/core/auth/keys.ts
@@ -1,4 +1,4 @@
-import { createHash, randomBytes, timingSafeEqual } from 'node:crypto'
+import { hash, randomBytes, timingSafeEqual } from 'node:crypto'
 
 const secretBytes = 24
 const idBytes = 6
@@ -14,7 +14,7 @@
 
 /** Returns the SHA-256 digest of a text or buffer in hexadecimal. */
 export function digest (content: string | Uint8Array): string {
-  return createHash('sha256').update(content).digest('hex')
+  return hash('sha256', content, 'hex')
 }
 
 /** Returns the hash that is stored for a key in clear text. The secret part has 192 random bits and needs no key stretching. */
--- a/src/core/http/client-bounds.ts
+++ b/src/core/http/client-bounds.ts
@@ -53,8 +53,8 @@
  * Returns the number of further requests that may be read from a connection now. A connection without a request may always send one, so that every client
  * is served whatever others hold.
  */
-export function readableRequests ({ requests }: Holding, totalRequests: number, { connectionRequests, clientRequests }: Pick<ClientBounds, 'connectionRequests' | 'clientRequests'>): number {
-  const room = Math.min(connectionRequests - requests, clientRequests - totalRequests, maxPieceRequests)
+export function readableRequests ({ requests }: Holding, totalRequests: number, bounds: Pick<ClientBounds, 'connectionRequests' | 'clientRequests'>, connectionRequests = bounds.connectionRequests): number {
+  const room = Math.min(connectionRequests - requests, bounds.clientRequests - totalRequests, maxPieceRequests)
   return Math.max(room, requests === 0 ? 1 : 0)
 }
 
--- a/src/core/http/clients.ts
+++ b/src/core/http/clients.ts
@@ -173,7 +173,7 @@
   }
   /** Returns the number of requests that may begin in the next piece, 0 for none. The body of a request that has begun may always be read: it has bounds of its own. */
   const mayRead = (connection: Connection): number => {
-    const count = readableRequests(connection, totalRequests, { ...bounds, connectionRequests: connection.maxRequests })
+    const count = readableRequests(connection, totalRequests, bounds, connection.maxRequests)
     return count === 0 && connection.newest?.req.complete === false ? 1 : count
   }
   const hold = (connection: Connection) => {
--- a/src/core/node/body.ts
+++ b/src/core/node/body.ts
@@ -1,6 +1,7 @@
 import { createHash } from 'node:crypto'
 import type { Hash } from 'node:crypto'
 import type { IncomingMessage } from 'node:http'
+import { digest } from '../auth/index.ts'
 import { fail, succeed } from '../errors/index.ts'
 import type { Failure, Outcome } from '../errors/index.ts'
 import type { BodyBudget, Release } from './body-budget.ts'
@@ -30,8 +31,13 @@
   timeLeftMs: () => number
 }
 
-function startDigest ({ method, url }: IncomingMessage): Hash {
-  return createHash('sha256').update(`${method ?? 'GET'} ${url ?? '/'}\n`)
+/** Returns what precedes the body in the digest of a request. */
+function digestPrefix ({ method, url }: IncomingMessage): string {
+  return `${method ?? 'GET'} ${url ?? '/'}\n`
+}
+
+function startDigest (request: IncomingMessage): Hash {
+  return createHash('sha256').update(digestPrefix(request))
 }
 
 function reserveRoom ({ budget, waitMs }: BodyRoom, bytes: number): Promise<Outcome<Release>> | Outcome<Release> {
@@ -48,7 +54,7 @@
   const length = request.headers['content-length']
   if (length === undefined && request.headers['transfer-encoding'] === undefined) {
     request.resume()
-    return succeed({ bytes: emptyBody, digest: startDigest(request).digest('hex'), release () {} })
+    return succeed({ bytes: emptyBody, digest: digest(digestPrefix(request)), release () {} })
   }
   if (Number(length ?? 0) > room.maxBytes) return fail('bodyTooLarge', { limit: room.maxBytes })
   return receive(request, room, length === undefined ? firstCapacity : Number(length))
@@ -63,7 +69,7 @@
   }
   let bytes: Buffer = Buffer.allocUnsafe(firstBytes)
   let size = 0
-  const digest = startDigest(request)
+  const bodyDigest = startDigest(request)
   /** Extends the room to at least `needed` bytes. Returns a failure if there is none at once: who holds room must not wait for more. */
   const grow = (needed: number): Failure | undefined => {
     const capacity = Math.min(room.maxBytes, Math.max(needed, bytes.length * growthFactor))
@@ -81,7 +87,7 @@
     if (failure !== undefined) return failure
     chunk.copy(bytes, size)
     size += chunk.length
-    digest.update(chunk)
+    bodyDigest.update(chunk)
     return undefined
   }
   const outcome = await new Promise<Outcome<null>>((resolve) => {
@@ -102,7 +108,7 @@
     request.on('close', breakOff)
     request.on('error', breakOff)
   })
-  if (outcome.ok) return succeed({ bytes: bytes.subarray(0, size), digest: digest.digest('hex'), release })
+  if (outcome.ok) return succeed({ bytes: bytes.subarray(0, size), digest: bodyDigest.digest('hex'), release })
   release()
   return outcome
 }
--- a/src/core/node/call-codec.ts
+++ b/src/core/node/call-codec.ts
@@ -37,8 +37,13 @@
 }
 
 function decodeContext (values: unknown[]): CallContext {
-  const context = Object.fromEntries(contextFields.map((field, index) => [field, values[index]])) as unknown as CallContext
-  return { ...context, lineage: context.lineage === '' ? context.chain : context.lineage, waitMs: context.waitMs ?? undefined, heardShare: context.heardShare ?? undefined }
+  const fields: Record<string, unknown> = {}
+  for (let index = 0; index < contextFields.length; index++) fields[contextFields[index]] = values[index]
+  const context = fields as unknown as CallContext
+  if (context.lineage === '') context.lineage = context.chain
+  context.waitMs ??= undefined
+  context.heardShare ??= undefined
+  return context
 }
 
 /** Decodes the first message of a call. Returns undefined for a value of another version of the program. */
--- a/src/core/node/headers.ts
+++ b/src/core/node/headers.ts
@@ -23,11 +23,20 @@
   return false
 }
 
-function connectionHeaderNames (rawHeaders: readonly string[]): Set<string> {
-  const names = new Set<string>()
+const noNames: ReadonlySet<string> = new Set()
+
+/** Returns the names of headers that a Connection header lists. The usual values name none. */
+function namesIn (connection: string | undefined): ReadonlySet<string> {
+  if (connection === undefined || connection === '' || connection === 'keep-alive' || connection === 'close') return noNames
+  return new Set(connection.split(',').map((name) => name.trim().toLowerCase()))
+}
+
+function connectionHeaderNames (rawHeaders: readonly string[]): ReadonlySet<string> {
+  let names = noNames
   for (let index = 0; index < rawHeaders.length; index += 2) {
-    if (rawHeaders[index].toLowerCase() !== 'connection') continue
-    for (const name of rawHeaders[index + 1].split(',')) names.add(name.trim().toLowerCase())
+    if (rawHeaders[index].length !== 'connection'.length || rawHeaders[index].toLowerCase() !== 'connection') continue
+    const listed = namesIn(rawHeaders[index + 1])
+    names = names === noNames ? listed : new Set([...names, ...listed])
   }
   return names
 }
@@ -53,11 +62,13 @@
 
 /** Returns the headers that are passed back with an answer: all but hop-by-hop headers and those that `isDropped` selects. */
 export function answerHeaders (headers: IncomingHttpHeaders, isDropped: (name: string) => boolean): string[] {
-  const connectionHeaders = new Set((headers.connection ?? '').split(',').map((name) => name.trim().toLowerCase()))
+  const connectionHeaders = namesIn(headers.connection)
   const kept: string[] = []
-  for (const [name, value] of Object.entries(headers)) {
+  for (const name of Object.keys(headers)) {
+    const value = headers[name]
     if (value === undefined || hopByHopHeaders.has(name) || connectionHeaders.has(name) || isDropped(name)) continue
-    for (const item of Array.isArray(value) ? value : [value]) kept.push(name, item)
+    if (typeof value === 'string') kept.push(name, value)
+    else for (const item of value) kept.push(name, item)
   }
   return kept
 }
--- a/src/core/node/serve.ts
+++ b/src/core/node/serve.ts
@@ -291,6 +291,7 @@
     let keptBytes = 0
     let status = 0
     let answerHeaders: string[] = []
+    let report: Report | undefined
     running++
     dependencies.recordStart(call.context.route, call.context.rank)
     span.meter = target.gate.meter?.startRequest(call.context.route)
@@ -334,7 +335,8 @@
         if (targetRefused) return isCertainRefusal(pool, requestId, echoed, code)
         recordOwnEnd(ownEndOf(code))
         answerHeaders = dialect.answerHeaders(received)
-        sink.head(code, answerHeaders, createReport(call, span))
+        report = createReport(call, span)
+        sink.head(code, answerHeaders, report)
         return true
       },
       data (chunk, resume) {
@@ -353,7 +355,7 @@
         }
         sink.end()
         crashes.recordCompletion(call.context.fingerprint)
-        const answered: AttemptOutcome = { type: 'answered', status, report: createReport(call, span) }
+        const answered: AttemptOutcome = { type: 'answered', status, report: report === undefined ? createReport(call, span) : { ...report, used: span.budget.used, shed: span.shed } }
         closeRun({ failed: status === 503 && !span.shed })
         if (claim === undefined) return resolve(answered)
         const body = keptBytes <= maxKeptAnswerBytes ? Buffer.concat(kept) : undefined
