Clients: the groups of listeners share the bounds on requests, answers and heads

What may happen: the listeners for callers and the one between processes each had the whole bound for themselves, so that clients who read no answers could make a process hold twice of it, on top of all else that it holds. Cause: createProcessClients gave each group the same bounds; their sum was bounded by nothing. Change: each group may hold what the other one leaves, and half of a bound in any case, so that callers cannot close what processes say to each other. Connections stay counted for each group. Measured: the test of two groups at one bound (20 and 10 requests) and shareOfBound are new; on the code before, each group read 20.

--- a/src/core/http/client-bounds.ts
+++ b/src/core/http/client-bounds.ts
@@ -37,6 +37,21 @@
   readAt: number
 }
 
+/** What a group of clients holds against the bounds that it shares with others. */
+export interface HeldTotals {
+  requests: number
+  bytes: number
+  headBytes: number
+}
+
+/** Part of a shared bound that a group of clients is sure of, whatever others hold: callers must not be able to stop what processes say to each other. */
+const surePart = 0.5
+
+/** Returns how much of a bound a group may hold while others hold `others` of it. */
+export function shareOfBound (bound: number, others: number): number {
+  return Math.max(surePart * bound, bound - others)
+}
+
 /** Returns the bytes that count against `clientBytes`. */
 export function boundedBytes ({ answerBytes, unparsedBytes }: Holding): number {
   return answerBytes + unparsedBytes
@@ -53,8 +68,8 @@
  * Returns the number of further requests that may be read from a connection now. A connection without a request may always send one, so that every client
  * is served whatever others hold.
  */
-export function readableRequests ({ requests }: Holding, totalRequests: number, bounds: Pick<ClientBounds, 'connectionRequests' | 'clientRequests'>, connectionRequests = bounds.connectionRequests): number {
-  const room = Math.min(connectionRequests - requests, bounds.clientRequests - totalRequests, maxPieceRequests)
+export function readableRequests ({ requests }: Holding, totalRequests: number, { connectionRequests, clientRequests }: Pick<ClientBounds, 'connectionRequests' | 'clientRequests'>): number {
+  const room = Math.min(connectionRequests - requests, clientRequests - totalRequests, maxPieceRequests)
   return Math.max(room, requests === 0 ? 1 : 0)
 }
 
--- a/src/core/http/clients.ts
+++ b/src/core/http/clients.ts
@@ -5,8 +5,8 @@
 import type { Clock } from '../clock/index.ts'
 import type { Log } from '../log/index.ts'
 import type { Metrics } from '../metrics/index.ts'
-import { boundedBytes, findLargest, findSurplus, readableRequests } from './client-bounds.ts'
-import type { ClientBounds, Holding } from './client-bounds.ts'
+import { boundedBytes, findLargest, findSurplus, readableRequests, shareOfBound } from './client-bounds.ts'
+import type { ClientBounds, HeldTotals, Holding } from './client-bounds.ts'
 import { endOfPiece } from './pieces.ts'
 
 /** Requests of one connection that listeners of administration hold: they begin each at once, and some ask other processes. */
@@ -32,9 +32,11 @@
   hasUnparsed: (socket: Duplex) => boolean
   /** Hands over a connection that has left HTTP by an upgrade. Nothing is held for it any more. */
   release: (socket: Duplex) => void
+  /** Returns what is held for them; answers as of the last check. */
+  held: () => HeldTotals
 }
 
-/** The clients of a process by group. What callers and operators hold takes nothing from the other processes of the cluster. */
+/** The clients of a process by group. The groups share the bounds on memory; each is sure of a part, so that callers and operators cannot take it from the other processes of the cluster. */
 export interface ProcessClients {
   callers: Clients
   peers: Clients
@@ -57,6 +59,10 @@
   leave: () => void
 }
 
+function holdNothing (): HeldTotals {
+  return { requests: 0, bytes: 0, headBytes: 0 }
+}
+
 /** Returns the bytes that a connection holds of answers, whether their turn has come or not. */
 function answerBytesOf ({ socket, responses }: Connection): number {
   let bytes = socket.writableLength
@@ -106,14 +112,16 @@
 
 /**
  * Creates the clients of a process. Node parses all requests of up to 64 KB at once, thousands of small ones, and takes no notice of their number; here they are
- * parsed a few at a time. A connection that holds as much as it may is not read further. What was not read has not run. `group` names the clients in metrics and lines.
+ * parsed a few at a time. A connection that holds as much as it may is not read further. What was not read has not run. `group` names the clients in metrics and lines,
+ * `othersHold` returns what other groups hold against the same bounds.
  */
-export function createClients (bounds: ClientBounds, { clock, log, metrics }: { clock: Clock, log: Log, metrics: Metrics }, group = 'callers'): Clients {
+export function createClients (bounds: ClientBounds, { clock, log, metrics }: { clock: Clock, log: Log, metrics: Metrics }, group = 'callers', othersHold: () => HeldTotals = holdNothing): Clients {
   const connections = new Map<Duplex, Connection>()
   const held = new Set<Connection>()
   const states = createStateLog(log, clock, bounds, group)
   let totalRequests = 0
   let totalHeadBytes = 0
+  let totalBytes = 0
   let isTurning = false
   let checkTimer: NodeJS.Timeout | undefined
 
@@ -148,15 +156,17 @@
   const keepWithinBytes = () => {
     let total = 0
     for (const connection of measured()) total += boundedBytes(connection)
-    while (total > bounds.clientBytes) {
+    const limit = shareOfBound(bounds.clientBytes, othersHold().bytes)
+    while (total > limit) {
       const largest = findLargest(connections.values(), boundedBytes)
-      if (largest === undefined) return
+      if (largest === undefined) break
       total -= boundedBytes(largest)
       closeConnection(largest, 'clientBytes')
     }
+    totalBytes = total
   }
   const keepWithinHeadBytes = () => {
-    while (totalHeadBytes > bounds.clientHeadBytes) {
+    while (totalHeadBytes > shareOfBound(bounds.clientHeadBytes, othersHold().headBytes)) {
       const largest = findLargest(connections.values(), ({ headBytes }) => headBytes)
       if (largest === undefined) return
       closeConnection(largest, 'clientHeadBytes')
@@ -173,7 +183,8 @@
   }
   /** Returns the number of requests that may begin in the next piece, 0 for none. The body of a request that has begun may always be read: it has bounds of its own. */
   const mayRead = (connection: Connection): number => {
-    const count = readableRequests(connection, totalRequests, bounds, connection.maxRequests)
+    const clientRequests = shareOfBound(bounds.clientRequests, othersHold().requests)
+    const count = readableRequests(connection, totalRequests, { connectionRequests: connection.maxRequests, clientRequests })
     return count === 0 && connection.newest?.req.complete === false ? 1 : count
   }
   const hold = (connection: Connection) => {
@@ -310,6 +321,7 @@
       return createNodeServer({ ...options, highWaterMark: bounds.connectionBytes, ServerResponse: CountedResponse }, listener)
         .on('connection', (socket: Socket) => admit(socket, maxRequests))
     },
+    held: () => ({ requests: totalRequests, bytes: totalBytes, headBytes: totalHeadBytes }),
     hasUnparsed: (socket) => (connections.get(socket)?.unparsedBytes ?? 0) > 0,
     release (socket) {
       connections.get(socket)?.leave()
@@ -318,7 +330,9 @@
   }
 }
 
-/** Creates the clients of a process, each group within the same bounds. */
+/** Creates the clients of a process, whose groups share the bounds on what is held. */
 export function createProcessClients (bounds: ClientBounds, environment: { clock: Clock, log: Log, metrics: Metrics }): ProcessClients {
-  return { callers: createClients(bounds, environment), peers: createClients(bounds, environment, 'peers') }
+  const callers = createClients(bounds, environment, 'callers', () => peers.held())
+  const peers: Clients = createClients(bounds, environment, 'peers', () => callers.held())
+  return { callers, peers }
 }
--- a/test/crowds/crowd.ts
+++ b/test/crowds/crowd.ts
@@ -104,14 +104,20 @@
   mostDescriptors: number
 }
 
-/** Lets a crowd send to a process, and watches what the process holds. Resolves while the crowd is still connected, with a function that ends it. */
+/** Lets a crowd send to a listener of a process, and watches what the process holds. Resolves while the crowd is still connected, with a function that ends it. */
 export async function watchCrowd (machines: Machines, name: string, host: string, port: number, crowd: Crowd): Promise<Seen & { leave: () => void }> {
+  return await watchCrowds(machines, name, [[host, port]], crowd)
+}
+
+/** The same for a crowd that sends to several listeners of a process, with all its connections to each. */
+export async function watchCrowds (machines: Machines, name: string, addresses: Array<[host: string, port: number]>, crowd: Crowd): Promise<Seen & { leave: () => void }> {
   const pid = machines.pidOf(name)
   const seen: Seen = { lives: true, beforeMb: residentMb(pid, 'VmRSS'), peakMb: 0, mostDescriptors: 0 }
-  const running = startCrowd(host, port, crowd)
+  const crowds = addresses.map(([host, port]) => startCrowd(host, port, crowd))
+  const stop = () => crowds.forEach((each) => each.stop())
   const until = performance.now() + crowdMs + settleMs
   while (performance.now() < until && machines.isRunning(name)) {
-    if (performance.now() > until - settleMs) running.stop()
+    if (performance.now() > until - settleMs) stop()
     try {
       seen.peakMb = Math.max(seen.peakMb, residentMb(pid, 'VmHWM'))
       seen.mostDescriptors = Math.max(seen.mostDescriptors, readdirSync(`/proc/${pid}/fd`).length)
@@ -120,9 +126,9 @@
     }
     await pause(50)
   }
-  running.stop()
+  stop()
   seen.lives = machines.isRunning(name)
-  return { ...seen, leave: running.leave }
+  return { ...seen, leave: () => crowds.forEach((each) => each.leave()) }
 }
 
 /** Starts three control instances and a node beside a server, configured with the routes of a document. */
--- a/test/crowds/unread-answers.test.ts
+++ b/test/crowds/unread-answers.test.ts
@@ -2,7 +2,7 @@
 import { after, test } from 'node:test'
 import { configuration, eventually, lastLogLines } from '../platform/machines.ts'
 import type { Machines } from '../platform/machines.ts'
-import { buildProgram, maxOtherDescriptors, maxResidentMb, startSystem, watchCrowd } from './crowd.ts'
+import { buildProgram, maxOtherDescriptors, maxResidentMb, startSystem, watchCrowd, watchCrowds } from './crowd.ts'
 import type { Crowd } from './crowd.ts'
 
 const program = buildProgram()
@@ -62,3 +62,22 @@
     }
   })
 }
+
+// Issue 55: the groups of listeners had the whole bound each.
+test('requests at the listeners for callers and between processes at once, answers unread: the process lives within its memory and serves others', { timeout: 90_000, todo: 'KNOWN-RED.txt, 33' }, async (context) => {
+  const machines = await startSystem(program, configuration(3, 'shop'))
+  try {
+    const crowd: Crowd = { connections: manyConnections, repeated: 'GET /none HTTP/1.1\r\nhost: a.example\r\n\r\n' }
+    const { leave, ...seen } = await watchCrowds(machines, 'sidecar-1', [callers.address(machines), nodePeers.address(machines)], crowd)
+    context.diagnostic(`${JSON.stringify(seen)}`)
+    assert.ok(seen.lives, `the process ended: ${machines.logOf('sidecar-1').slice(-1500)}`)
+    assert.ok(seen.peakMb < maxResidentMb, `${seen.peakMb} MB`)
+    assert.ok(seen.mostDescriptors < 2 * crowd.connections + maxOtherDescriptors, `${seen.mostDescriptors} descriptors`)
+    await eventually(async () => (await machines.send(1, '/p/x')).status === 200)
+    await eventually(async () => (await machines.readConfiguration(1)).status === 200)
+    leave()
+    assert.ok(machines.isRunning('sidecar-1'), lastLogLines())
+  } finally {
+    await machines.stop()
+  }
+})
--- a/test/http/clients.test.ts
+++ b/test/http/clients.test.ts
@@ -3,9 +3,12 @@
 import { connect } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
 import { test } from 'node:test'
-import { findLargest, findSurplus, readableRequests } from '../../src/core/http/client-bounds.ts'
+import { findLargest, findSurplus, readableRequests, shareOfBound } from '../../src/core/http/client-bounds.ts'
 import type { ClientBounds, Holding } from '../../src/core/http/client-bounds.ts'
 import { endOfPiece } from '../../src/core/http/pieces.ts'
+import { systemClock } from '../../src/core/clock/index.ts'
+import { createProcessClients } from '../../src/core/http/index.ts'
+import { silentLog } from '../../src/core/log/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
 import type { Metrics } from '../../src/core/metrics/index.ts'
 import { createTestClients } from './clients.ts'
@@ -26,6 +29,28 @@
   assert.equal(readableRequests(holding({ requests: 10 }), 10, bounds), 0)
 })
 
+test('groups hold no more than a bound together, and each is sure of half of it', () => {
+  assert.equal(shareOfBound(100, 0), 100)
+  assert.equal(shareOfBound(100, 30), 70)
+  assert.equal(shareOfBound(100, 90), 50)
+})
+
+test('what one group holds takes from what the other one may, for as long as it holds it', async () => {
+  const clients = createProcessClients({ ...bounds, clientRequests: 20, connectionRequests: 20 }, { clock: systemClock, log: silentLog, metrics: createMetrics() })
+  const held = { callers: 0, peers: 0 }
+  const servers = (['callers', 'peers'] as const).map((group) => clients[group].createServer({}, () => void held[group]++))
+  await Promise.all(servers.map((server) => new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))))
+  const sockets = servers.map((server) => connect((server.address() as AddressInfo).port, '127.0.0.1'))
+  sockets[0].write(get('/').repeat(20))
+  await new Promise((resolve) => setTimeout(resolve, 100))
+  sockets[1].write(get('/').repeat(20))
+  await new Promise((resolve) => setTimeout(resolve, 100))
+  assert.equal(clients.callers.held().requests, 20)
+  assert.equal(clients.peers.held().requests, 10)
+  for (const socket of sockets) socket.destroy()
+  for (const server of servers) server.close()
+})
+
 test('the largest holding counts requests, answers and heads', () => {
   const [requests, answers, head] = [holding({ requests: 3 }), holding({ answerBytes: 30_000 }), holding({ headBytes: 4000 })]
   assert.equal(findLargest([requests, answers, head]), head)
