Admission: the time that a kind of request needs is a mean again, which refusals lower and requests cut short raise

Cause: a call with less time than most of its kind need mostly fails, and has used the last service by then. Change: a mean of what ends well, raised by a twentieth for each request cut short and lowered by a hundredth for each refusal.

--- a/src/core/admission/constants.ts
+++ b/src/core/admission/constants.ts
@@ -16,11 +16,10 @@
 /** Weight of a new sample in the moving average of the time of a kind of request. */
 export const typicalTimeWeight = 0.05
 
-/** Weights of a longer and of a shorter sample in the time within which the faster ones of a kind end. */
-export const shortTimeGain = 0.01
-export const shortTimeLoss = 0.04
+/** Weight of a new sample in the time that a kind of request needs. */
+export const neededTimeWeight = 0.03
 
-/** Factor on that time for a request which took as long and had not ended, and for one that was not begun for want of time. One in six of the latter kind tries. */
+/** Factor on that time for a request which took as long and had not ended, and for one that was not begun for want of time. One in six of the latter tries. */
 export const censoredGrowth = 1.05
 export const probeDecay = 0.99
 
--- a/src/core/admission/queue.ts
+++ b/src/core/admission/queue.ts
@@ -2,10 +2,10 @@
 import { createFixedLimit, createLimit, recordSample } from './limit.ts'
 import type { ConcurrencyLimit, Sample } from './limit.ts'
 import { recordHolder, releaseHolder } from './held-slots.ts'
+import { createNeededTimes, neededTimeOf, recordCutShort, recordEndedWell, recordTooLate } from './needed-times.ts'
+import type { NeededTimes } from './needed-times.ts'
 import { createRankedWaiting, findLast, recordRankedArrival, takeNext } from './ranked.ts'
 import type { RankedWaiting } from './ranked.ts'
-import { createShortTimes, recordCutShort, recordEndedWell, recordTooLate, shortTimeOf } from './short-times.ts'
-import type { ShortTimes } from './short-times.ts'
 
 /** A request that is to run at a target. */
 export interface QueuedRequest {
@@ -50,8 +50,8 @@
   emptyAt: number
   /** Moving average of the time of a request at the target in ms, by kind. */
   typicalMs: Map<string, number>
-  /** Time below which a request of a kind is not begun. */
-  shortTimes: ShortTimes
+  /** Time that a request of a kind needs; with less until its deadline it is not begun. */
+  neededTimes: NeededTimes
   /** Present where requests wait by rank; otherwise by priority alone. */
   ranked?: RankedWaiting
 }
@@ -60,7 +60,7 @@
 export function createAdmission (slots: number, now: number, isAdaptive = true, isRanked = false): Admission {
   const limit = isAdaptive ? createLimit(slots, now) : createFixedLimit(slots, now)
   const ranked = isRanked ? createRankedWaiting() : undefined
-  return { limit, running: 0, queue: [], finishTimes: new Map(), virtualTime: 0, emptyAt: now, typicalMs: new Map(), shortTimes: createShortTimes(), ranked }
+  return { limit, running: 0, queue: [], finishTimes: new Map(), virtualTime: 0, emptyAt: now, typicalMs: new Map(), neededTimes: createNeededTimes(), ranked }
 }
 
 /** Returns the running and waiting requests divided by the concurrency limit. */
@@ -77,7 +77,7 @@
 export function offer (admission: Admission, entry: QueuedRequest, now: number): AdmissionDecision {
   const decision: AdmissionDecision = { started: [], shed: [] }
   if (!canFinish(admission, entry, now)) {
-    recordTooLate(admission.shortTimes, entry.kind)
+    recordTooLate(admission.neededTimes, entry.kind)
     decision.shed.push({ id: entry.id, reason: 'too-late' })
     return decision
   }
@@ -97,9 +97,9 @@
   isError?: boolean
 }
 
-function updateShortTime ({ shortTimes }: Admission, { kind, latencyMs, failed, isError = false }: FinishedRequest): void {
-  if (failed) recordCutShort(shortTimes, kind, latencyMs)
-  else if (!isError) recordEndedWell(shortTimes, kind, latencyMs)
+function updateNeededTime ({ neededTimes }: Admission, { kind, latencyMs, failed, isError = false }: FinishedRequest): void {
+  if (failed) recordCutShort(neededTimes, kind, latencyMs)
+  else if (!isError) recordEndedWell(neededTimes, kind, latencyMs)
 }
 
 function updateTypicalTime ({ typicalMs }: Admission, { kind, latencyMs }: FinishedRequest): void {
@@ -116,7 +116,7 @@
   if (sample !== undefined) {
     recordSample(admission.limit, { ...sample, running: admission.running }, now)
     if (!sample.failed) updateTypicalTime(admission, sample)
-    updateShortTime(admission, sample)
+    updateNeededTime(admission, sample)
   }
   admission.running--
   if (id !== undefined && admission.ranked !== undefined) releaseHolder(admission.ranked.held, id)
@@ -136,7 +136,7 @@
   let sweepAt = Infinity
   for (const entry of admission.queue) {
     const longestWaitMs = entry.maxWaitMs ?? (entry.priority > 0 ? overloadWaitMs : Infinity)
-    sweepAt = Math.min(sweepAt, entry.arrivedAt + longestWaitMs, entry.deadlineAt - shortTimeOf(admission.shortTimes, entry.kind))
+    sweepAt = Math.min(sweepAt, entry.arrivedAt + longestWaitMs, entry.deadlineAt - neededTimeOf(admission.neededTimes, entry.kind))
   }
   return sweepAt
 }
@@ -149,7 +149,7 @@
 }
 
 function canFinish (admission: Admission, entry: QueuedRequest, now: number): boolean {
-  return entry.deadlineAt - now > shortTimeOf(admission.shortTimes, entry.kind)
+  return entry.deadlineAt - now > neededTimeOf(admission.neededTimes, entry.kind)
 }
 
 function shedLate (admission: Admission, now: number, decision: AdmissionDecision): void {
@@ -158,7 +158,7 @@
   for (const entry of admission.queue) {
     const isLate = !canFinish(admission, entry, now)
     const hasWaitedTooLong = now - entry.arrivedAt > (entry.maxWaitMs ?? (entry.priority > 0 ? longestWaitMs : Infinity))
-    if (isLate) recordTooLate(admission.shortTimes, entry.kind)
+    if (isLate) recordTooLate(admission.neededTimes, entry.kind)
     if (isLate || hasWaitedTooLong) decision.shed.push({ id: entry.id, reason: isLate ? 'too-late' : 'waited-too-long' })
     else kept.push(entry)
   }
