Shares of the room: what a node did before its first calls is not put down to them

What callers may see: a node that has just started states too small a share for its first window or two, as its start kept the loop busy. Cause: the first reading of the busy time was compared with zero, so that the whole start of the process fell into the first window. Change: the allocator takes its first reading when it is created. Measured: the new test in test/shares/shares.test.ts failed before; test/shares and room-shares 44 of 44.

--- a/src/core/node/room-shares.ts
+++ b/src/core/node/room-shares.ts
@@ -95,7 +95,7 @@
 /** Creates the shares of a node whose own target has `room()` and which itself has used its processor as `readUse()` says. */
 export function createRoomShares (room: () => number, environment: Environment, readUse: () => ProcessorUse = readIdle): RoomShares {
   const { clock, random } = environment
-  const allocator = createAllocator(clock.now())
+  const allocator = createAllocator(clock.now(), readUse())
   const statements = createStatements()
   const credits = createCredits()
   const held = new Map<string, Held>()
--- a/src/core/shares/allocator.ts
+++ b/src/core/shares/allocator.ts
@@ -84,9 +84,9 @@
   isShort: boolean
 }
 
-/** Creates the allocator of a target that has no requests. */
-export function createAllocator (now: number): Allocator {
-  return { classes: new Map(), windowAt: now, accepted: 0, refused: 0, slots: createDivision(), calls: createDivision(), processor: createProcessorRoom(), isShort: false }
+/** Creates the allocator of a target that has no requests, whose node has used its processor as `use` says. */
+export function createAllocator (now: number, use: ProcessorUse = readIdle()): Allocator {
+  return { classes: new Map(), windowAt: now, accepted: 0, refused: 0, slots: createDivision(), calls: createDivision(), processor: createProcessorRoom(use), isShort: false }
 }
 
 function createDivision (): Division {
--- a/src/core/shares/processor.ts
+++ b/src/core/shares/processor.ts
@@ -23,9 +23,9 @@
   otherRate: number
 }
 
-/** Creates the room of a node that has done nothing yet. */
-export function createProcessorRoom (): ProcessorRoom {
-  return { last: readIdle(), utilization: 0, callRate: 0, otherRate: 0 }
+/** Creates the room of a node that has carried no calls yet. What it did until now, such as its start, is not put down to them. */
+export function createProcessorRoom (last: ProcessorUse): ProcessorRoom {
+  return { last, utilization: 0, callRate: 0, otherRate: 0 }
 }
 
 /** Returns how many calls came for each one that was read in a window. When calls are read later and later, more come than are read. */
--- a/test/shares/shares.test.ts
+++ b/test/shares/shares.test.ts
@@ -75,6 +75,18 @@
   assert.equal(Math.min(...shares), 1)
 })
 
+test('the start of a node, busy before its first calls, is not put down to them', () => {
+  const readUse = (now: number) => ({ busyMs: 3000 + 0.2 * now, latenessMs: 0, otherRequests: 0 })
+  const allocator = createAllocator(0, readUse(0))
+  for (let now = 10; now <= 2000; now += 10) {
+    const state = recordArrival(allocator, inProgress, 1, now)
+    recordStart(state, now)
+    recordDeparture(allocator, state, 'ended', 0, now)
+    updateAllocator(allocator, 10, now, () => readUse(now))
+    assert.ok(allocator.processor.utilization < 0.25)
+  }
+})
+
 test('classes are few, however many routes there are, and idle ones are forgotten', () => {
   const allocator = createAllocator(0)
   for (let route = 0; route < 500; route++) recordDeparture(allocator, recordArrival(allocator, { route: `r${route}`, rank: route % 3, isInProgress: false }, 1, 0), 'not-started', 0, 0)
