Placement: calls leave a failure domain whose only target fails a part of its requests

Cause: the part of its usual calls that a failing target should get was only weighed against other targets of its own domain. Where it is the only one there, it got all calls of its domain until its load passed 0.6; a target is left out only from about 0.31 of failures on. Class: a weight that is normalized within a group of one.

--- a/test/routing/failing.test.ts
+++ b/test/routing/failing.test.ts
@@ -120,6 +120,17 @@
   assert.ok(partOf(answers, 3500, 10_000, hasFailed) < 0.02, `failed ${partOf(answers, 3500, 10_000, hasFailed)}`)
 })
 
+for (const callsPerSecond of [400, 1200]) {
+  test(`the only target of a domain fails a quarter of its requests: most of its calls go to other domains, at ${callsPerSecond} calls a second`, () => {
+    const targets = ['a-1', 'b-1', 'c-1', 'd-1'].map((name) => createTarget(name, name === 'a-1' ? during(3000, 10_000, 0.25) : undefined))
+    const answers = run(targets, { untilMs: 14_000, nodes: { a: 3, b: 3, c: 2, d: 2 }, callsPerSecond })
+    const failed = partOf(answers, 4000, 10_000, hasFailed)
+    assert.ok(failed < 0.02, `failed ${failed}`)
+    const back = partOf(answers, 11_500, 14_000, ({ target }) => target === 'a-1')
+    assert.ok(back > 0.2, `back ${back}`)
+  })
+}
+
 test('targets that all fail alike get the same calls as without statements', () => {
   const partsOf = (statesFailures: boolean) => {
     const answers = run(names.map((name) => createTarget(name, () => 0.5)), { ...oneDomain, untilMs: 6000, statesFailures })
