Rates: one node in each failure domain keeps admissions of a workspace for the others

Cause: what is spare is half a request for each node, rounded down to none, and demand that has just begun is anticipated only by a node that has seen three requests of it. At 60 nodes hardly any node has something to lend, and a borrower asks six of them at random. Class: a reserve cut into parts smaller than its unit. Looked for elsewhere: token buckets lend nothing and have the pool; retry tokens are at least one a node; the fleet's retries are divided with a least of one. Change: rendezvous hashing names a lender for each workspace and domain; it reports without requests of its own, gets the spare part and what young demand will bring to a window, and is asked first. The sum of allowances is bounded as before. The mark of a lender is a further field of a report, which earlier versions ignore. window-fleet.ts has four lenders by default, so that all schedules of faults (loss, restart, cut, two leaders) run with them; the bounds of its tests are unchanged. Stubs of two tests got the members and the configuration that the client now reads.

--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -138,7 +138,7 @@
   const ownFailures = roomPlacement ? createOwnFailures(clock) : undefined
   const claimHolder = serveClaims(peers, environment)
   const claims = createClaimClient(peers, environment, hash)
-  const rates = createRateClient(peers, createMeter(options.rateWindowMs ?? 0), environment)
+  const rates = createRateClient(peers, createMeter(options.rateWindowMs ?? 0), environment, hash)
   const directory = createDirectory(peers.configuration, random)
   const requestLog = createRequestLog(id, log, metrics, clock)
   let stop: Stop | undefined
--- a/src/core/rate/client.ts
+++ b/src/core/rate/client.ts
@@ -1,7 +1,11 @@
+import type { Hash } from '../claims/index.ts'
+import { workspacesWithRateLimit } from '../config/index.ts'
+import type { Configuration } from '../config/index.ts'
 import type { Environment, Peers } from '../peers/index.ts'
 import { demandsPerReport, leaderlessAfterMs, leaderlessWaitMs, maxWaiting, reportIntervalMs, tokenWaitMs, urgentReportIntervalMs } from './constants.ts'
 import { decodeGrants, encodeDemands } from './codec.ts'
 import type { EncodedGrants } from './codec.ts'
+import { createLenders, lendingNodes } from './lenders.ts'
 import { startLending } from './lending.ts'
 import type { AnyDemand, AnyGrant, Meter } from './meters.ts'
 import type { Share } from './types.ts'
@@ -10,6 +14,9 @@
 const waitingCheckMs = 15
 const idleCheckMs = 250
 
+/** Shortest interval between two searches for the workspaces that this node lends, in milliseconds. Each hashes all workspaces for all nodes. */
+const lenderCheckMs = 1000
+
 /** How a request was admitted: counted at this node, or counted at another one that lent the admission; refused if beyond the rate. */
 export type Admission = 'counted' | 'borrowed' | 'refused'
 
@@ -42,7 +49,7 @@
 }
 
 /** Creates a rate client that reports demand to the control group and accepts grants. */
-export function createRateClient (peers: Peers, meter: Meter, environment: Environment): RateClient {
+export function createRateClient (peers: Peers, meter: Meter, environment: Environment, hash: Hash): RateClient {
   const { clock, metrics } = environment
   const waiters = new Map<string, Waiter[]>()
   const startedAt = clock.now()
@@ -64,13 +71,31 @@
     for (const waiter of queue.splice(0, count)) waiter.admit(admission)
     if (queue.length === 0) waiters.delete(workspace)
   }
+  let lenders = createLenders([], hash)
+  let lendersFrom: { nodes: string, configuration: Configuration } | undefined
+  let lendersCheckedAt = -Infinity
+  /** Finds the lenders anew where members or workspaces have changed, and which workspaces this node lends. */
+  const updateLenders = (now: number) => {
+    if (now - lendersCheckedAt < lenderCheckMs) return
+    lendersCheckedAt = now
+    const configuration = peers.configuration()
+    const members = lendingNodes(peers.members())
+    const nodes = members.map(({ id, domain }) => `${id}/${domain}`).sort().join()
+    if (lendersFrom?.nodes === nodes && lendersFrom.configuration === configuration) return
+    lendersFrom = { nodes, configuration }
+    lenders = createLenders(members, hash)
+    const { id, domain } = peers.self()
+    meter.lendWorkspaces(new Set(workspacesWithRateLimit(configuration).filter((workspace) => lenders.inDomain(workspace, domain) === id)), now)
+  }
   const borrow = startLending(peers, meter, {
+    lendersOf: (workspace) => lenders.of(workspace),
     counts: () => [...waiters].map(([workspace, queue]) => [workspace, queue.length]),
     admitBorrowed: (workspace, count) => admitWaiters(workspace, meter.admitBorrowed(workspace, count, clock.now()), 'borrowed'),
     isClosed: () => closed
   }, environment)
   const reportDemands = async () => {
     const sentAt = clock.now()
+    updateLenders(sentAt)
     const term = peers.freshness.newest?.term
     const demands = meter.demands(sentAt, mustReportAll || term !== reportedTerm)
     nextReportAt = sentAt + reportIntervalMs
@@ -85,7 +110,7 @@
     await Promise.all(batches.map(async (batch) => {
       const grants = await sendReport(batch)
       for (const grant of grants) admitWaiters(grant.workspace, meter.accept(grant, sentAt, clock.now()))
-      const tokenWaitsMs = grants.map(({ nextMs }) => nextMs).filter((ms) => ms > 0)
+      const tokenWaitsMs = grants.filter(({ workspace }) => waiters.has(workspace)).map(({ nextMs }) => nextMs).filter((ms) => ms > 0)
       if (tokenWaitsMs.length > 0) urgentIntervalMs = Math.max(urgentReportIntervalMs, Math.min(...tokenWaitsMs))
     }))
   }
--- a/src/core/rate/codec.ts
+++ b/src/core/rate/codec.ts
@@ -2,7 +2,7 @@
 import type { AnyDemand, AnyGrant } from './meters.ts'
 
 const count = v.pipe(v.number(), v.integer())
-const windowDemandSchema = v.tuple([v.string(), count, count, count, v.nullable(v.tuple([count, count, count])), v.optional(count)])
+const windowDemandSchema = v.tuple([v.string(), count, count, count, v.nullable(v.tuple([count, count, count])), v.optional(count), v.optional(v.boolean())])
 const bucketDemandSchema = v.tuple([v.string(), v.number(), count, v.nullable(v.tuple([v.string(), count, v.number(), v.number()]))])
 const windowGrantSchema = v.tuple([v.string(), count, count, count, v.number(), v.number()])
 const bucketGrantSchema = v.tuple([v.string(), v.string(), count, v.number(), v.number(), v.number(), v.boolean(), v.number(), v.number()])
@@ -18,7 +18,7 @@
 
 /**
  * Demands of one kind of limit as they are sent: fields in a fixed order, without their names.
- * Window: workspace, arrived, admitted, waiting, held (term, sequence, allowance) or null, expected (missing from earlier versions).
+ * Window: workspace, arrived, admitted, waiting, held (term, sequence, allowance) or null, expected, whether it is a lender (both missing from earlier versions).
  * Bucket: workspace, rate (requests/s), waiting, held (generation, sequence, rate, burst) or null.
  */
 export type EncodedDemands = v.InferOutput<typeof demandsSchema>
@@ -36,8 +36,8 @@
   const bucket: Array<v.InferOutput<typeof bucketDemandSchema>> = []
   for (const demand of demands) {
     if ('arrived' in demand) {
-      const { workspace, arrived, expected, admitted, waiting, held } = demand
-      window.push([workspace, arrived, admitted, waiting, held === undefined ? null : [held.term, held.sequence, held.allowance], expected ?? arrived])
+      const { workspace, arrived, expected, admitted, waiting, held, isLender = false } = demand
+      window.push([workspace, arrived, admitted, waiting, held === undefined ? null : [held.term, held.sequence, held.allowance], expected ?? arrived, isLender])
     } else {
       const { workspace, rate, waiting, held } = demand
       bucket.push([workspace, rate, waiting, held === undefined ? null : [held.generation, held.sequence, held.rate, held.burst]])
@@ -56,8 +56,8 @@
       return { workspace, rate, waiting, held: { generation, sequence, rate: heldRate, burst } }
     })
   }
-  return value.window.map(([workspace, arrived, admitted, waiting, held, expected]) => {
-    const demand = { workspace, arrived, admitted, waiting, ...(expected === undefined || expected <= arrived ? {} : { expected }) }
+  return value.window.map(([workspace, arrived, admitted, waiting, held, expected, isLender]) => {
+    const demand = { workspace, arrived, admitted, waiting, ...(expected === undefined || expected <= arrived ? {} : { expected }), ...(isLender === true ? { isLender } : {}) }
     if (held === null) return demand
     const [term, sequence, allowance] = held
     return { ...demand, held: { term, sequence, allowance } }
--- a/src/core/rate/constants.ts
+++ b/src/core/rate/constants.ts
@@ -106,6 +106,9 @@
 /** What is spare in addition for each node with demand, in requests. */
 export const sparePerHolder = 0.5
 
+/** Fraction of what demand leaves of a workspace's capacity that lenders keep at most. The rest goes to nodes that ask the leader. */
+export const lentFraction = 0.5
+
 /** What a ceiling exceeds the occupied capacity by when it is set, as a fraction of the capacity. */
 export const ceilingHeadroomFraction = 0.03
 
--- a/src/core/rate/index.ts
+++ b/src/core/rate/index.ts
@@ -10,7 +10,7 @@
 export type { EncodedDemands, EncodedGrants } from './codec.ts'
 export { createMeter } from './meters.ts'
 export type { AnyDemand, AnyGrant, Meter } from './meters.ts'
-export { acceptWindowGrant, createWindowMeter, refundToWindow, removeWaitingInWindow, admitBorrowedInWindow, admitWaitingInWindow, admitInWindow, collectWindowDemands, lendFromWindow } from './window-meter.ts'
+export { acceptWindowGrant, createWindowMeter, refundToWindow, removeWaitingInWindow, admitBorrowedInWindow, admitWaitingInWindow, admitInWindow, collectWindowDemands, lendFromWindow, lendWorkspaces } from './window-meter.ts'
 export type { WindowMeter } from './window-meter.ts'
 export { confirmCeilings, createWindowLedger, decideAllowance, isCeilingShort, planCeilings, returnAllowance, recordProcessStart, releaseWindowHolder, endWindowTakeover } from './window-ledger.ts'
 export type { CeilingScope, WindowLedger } from './window-ledger.ts'
--- a/src/core/rate/lending.ts
+++ b/src/core/rate/lending.ts
@@ -12,6 +12,8 @@
 /** Numbers of requests by workspace, as they are sent: what a borrower asks for and what a lender gives. */
 export type RequestCounts = v.InferOutput<typeof countsSchema>
 
+const noLenders: ReadonlySet<string> = new Set()
+
 /** A request for a loan is sent once, because a second copy would be a second loan. */
 const borrowTimeouts = { retryMs: 2 * borrowTtlMs, timeoutMs: borrowTtlMs }
 
@@ -26,12 +28,27 @@
   return lent
 }
 
-/** Returns the nodes to ask, in order: some of the own failure domain, then some of others, which may be cut off or far away. */
-export function chooseLenders (self: Member, members: readonly Member[], random: Random): Member[] {
+/** Returns the nodes to ask, in order: some of the own failure domain, then some of others, which may be cut off or far away. Lenders of the workspace go first in each. */
+export function chooseLenders (self: Member, members: readonly Member[], random: Random, lenders: ReadonlySet<string> = noLenders): Member[] {
   const nodes = members.filter(({ id, role }) => role === 'node' && id !== self.id)
+  const isLender = ({ id }: Member) => lenders.has(id)
+  const choose = (some: readonly Member[], count: number) => {
+    const first = sample(random, some.filter(isLender), count)
+    return [...first, ...sample(random, some.filter((node) => !isLender(node)), count - first.length)]
+  }
   const near = nodes.filter(({ domain }) => domain === self.domain)
   const far = nodes.filter(({ domain }) => domain !== self.domain)
-  return [...sample(random, near, lendersInDomain), ...sample(random, far, lendersElsewhere)]
+  return [...choose(near, lendersInDomain), ...choose(far, lendersElsewhere)]
+}
+
+/** Returns the lenders to ask, each with what is wanted of the workspaces whose next one it is. */
+function groupByLender (wanted: RequestCounts, lenderOf: (workspace: string) => Member | undefined): Map<Member, RequestCounts> {
+  const groups = new Map<Member, RequestCounts>()
+  for (const [workspace, asked] of wanted) {
+    const lender = lenderOf(workspace)
+    if (lender !== undefined) groups.set(lender, [...groups.get(lender) ?? [], [workspace, asked]])
+  }
+  return groups
 }
 
 /** Returns the loans of a lender's answer. A malformed answer has none. */
@@ -43,6 +60,8 @@
 export interface Waiting {
   /** Returns the number of waiting requests, by workspace. */
   counts: () => RequestCounts
+  /** Returns the ids of the nodes that keep admissions of a workspace for others. */
+  lendersOf: (workspace: string) => ReadonlySet<string>
   /** Admits up to `count` waiting requests of a workspace, which the lender counts. */
   admitBorrowed: (workspace: string, count: number) => void
   /** Returns true once the allowances were returned to the leader, which may have granted them to others by now. */
@@ -67,10 +86,17 @@
     }
   }
   const borrowRound = async () => {
-    for (const lender of chooseLenders(peers.self(), peers.members(), random)) {
+    const orders = new Map<string, Member[]>()
+    const orderOf = (workspace: string) => {
+      const order = orders.get(workspace) ?? chooseLenders(peers.self(), peers.members(), random, waiting.lendersOf(workspace))
+      orders.set(workspace, order)
+      return order
+    }
+    for (let step = 0; step < lendersInDomain + lendersElsewhere; step++) {
       const wanted = waiting.counts().slice(0, demandsPerReport)
       if (wanted.length === 0) return
-      await borrowFrom(lender, wanted)
+      const groups = groupByLender(wanted, (workspace) => orderOf(workspace)[step])
+      await Promise.all([...groups].map(([lender, counts]) => borrowFrom(lender, counts)))
     }
   }
   return () => {
--- a/src/core/rate/meters.ts
+++ b/src/core/rate/meters.ts
@@ -1,7 +1,7 @@
 import { acceptGrant, createBuckets, collectDemands, shareOfBucket, removeWaitingRequest, takeToken, takeTokensForWaiting } from './buckets.ts'
 import type { Demand, Grant, Share, WindowDemand, WindowGrant } from './types.ts'
 import {
-  acceptWindowGrant, createWindowMeter, refundToWindow, removeWaitingInWindow, admitBorrowedInWindow, admitWaitingInWindow, admitInWindow, collectWindowDemands, lendFromWindow, shareOfWindow
+  acceptWindowGrant, createWindowMeter, refundToWindow, removeWaitingInWindow, admitBorrowedInWindow, admitWaitingInWindow, admitInWindow, collectWindowDemands, lendFromWindow, lendWorkspaces, shareOfWindow
 } from './window-meter.ts'
 
 /** Grant of either kind of limit, sent in answer to a report. */
@@ -18,6 +18,8 @@
   admitWaiting: (workspace: string, now: number) => number
   /** Lends up to `count` admissions to another node. Returns how many. */
   lend: (workspace: string, count: number, now: number) => number
+  /** Sets the workspaces of which this node keeps admissions for others. */
+  lendWorkspaces: (workspaces: ReadonlySet<string>, now: number) => void
   /** Admits up to `count` waiting requests that a lender counts. Returns how many, oldest first. */
   admitBorrowed: (workspace: string, count: number, now: number) => number
   /** Removes a waiting request that timed out or was refused. */
@@ -45,6 +47,7 @@
     tryAdmit: (workspace, now) => takeToken(buckets, workspace, now),
     admitWaiting: (workspace, now) => takeTokensForWaiting(buckets, workspace, now),
     lend: () => 0,
+    lendWorkspaces () {},
     admitBorrowed: () => 0,
     removeWaiting: (workspace, now) => removeWaitingRequest(buckets, workspace, now),
     refund () {},
@@ -62,6 +65,7 @@
     tryAdmit: (workspace, now) => admitInWindow(meter, workspace, now),
     admitWaiting: (workspace, now) => admitWaitingInWindow(meter, workspace, now),
     lend: (workspace, count, now) => lendFromWindow(meter, workspace, count, now),
+    lendWorkspaces: (workspaces, now) => lendWorkspaces(meter, workspaces, now),
     admitBorrowed: (workspace, count, now) => admitBorrowedInWindow(meter, workspace, count, now),
     removeWaiting: (workspace, now) => removeWaitingInWindow(meter, workspace, now),
     refund: (workspace, admittedAt, now) => refundToWindow(meter, workspace, admittedAt, now),
--- a/src/core/rate/types.ts
+++ b/src/core/rate/types.ts
@@ -58,7 +58,7 @@
   sequence: number
   /** Requests that may be admitted in any window. */
   allowance: number
-  /** Time after which the node should report again for the requests that still wait, in milliseconds; 0 when none waits. */
+  /** Time after which the node should report again for the requests that still wait, or for what it keeps for others, in milliseconds; 0 for neither. */
   nextMs: number
   /** Lease duration, counted from the time at which the node sent its report, in milliseconds. */
   leaseMs: number
@@ -74,6 +74,8 @@
   admitted: number
   /** Requests that currently wait to be admitted. */
   waiting: number
+  /** True for a node that keeps admissions of the workspace for others while no leader answers. */
+  isLender?: boolean
   /** Grant that the node holds, if its lease has not expired. */
   held?: { term: number, sequence: number, allowance: number }
 }
--- a/src/core/rate/window-ledger.ts
+++ b/src/core/rate/window-ledger.ts
@@ -1,5 +1,5 @@
 import {
-  anticipationFraction, averageDemandWeight, borrowTtlMs, ceilingHeadroomFraction, ceilingRetryMs, immediateFraction, lowerCeilingAfterMs, minCeilingHeadroom, scarceReportIntervalMs, spareDemandFraction, sparePerHolder, spareWindowFraction,
+  anticipationFraction, averageDemandWeight, borrowTtlMs, ceilingHeadroomFraction, ceilingRetryMs, immediateFraction, lentFraction, lowerCeilingAfterMs, minArrivalsForRate, minCeilingHeadroom, minRateFraction, reportIntervalMs, scarceReportIntervalMs, spareDemandFraction, sparePerHolder, spareWindowFraction,
   sweepIntervalMs, windowLeaseMs
 } from './constants.ts'
 import type { Limit, Tolerance, WindowDemand, WindowGrant } from './types.ts'
@@ -21,6 +21,8 @@
   /** Moving average of the demand. Spare capacity is divided in proportion to it. */
   averageDemand: number
   reportedAt: number
+  /** Whether it keeps admissions for others. */
+  isLender: boolean
 }
 
 /** An allowance that is no longer in use and whose last admissions still count. */
@@ -34,6 +36,7 @@
   occupied: number
   demand: number
   averageDemand: number
+  lenders: number
 }
 
 /** Capacity and holdings of one workspace. */
@@ -53,6 +56,8 @@
   holdings: Map<string, Holding>
   endedAllowances: EndedAllowance[]
   sums: Sums
+  /** Time at which demand began after none; undefined while there is none, or where it is not known. */
+  demandSince: number | undefined
   sweptAt: number
 }
 
@@ -63,6 +68,8 @@
 export interface WindowLedger {
   term: number
   windowMs: number
+  /** Time since which this leader is in office. */
+  since: number
   /** What requests that wait may draw beyond the limit. It is not part of the shares that follow demand. */
   tolerance: Tolerance
   /** Time from which allowances that were not reported to this leader are no longer in use. */
@@ -84,7 +91,7 @@
 export function createWindowLedger (
   term: number, windowMs: number, since: number, tolerance: Tolerance = noTolerance, earlierCeilings?: Readonly<Record<string, number>>
 ): WindowLedger {
-  return { term, windowMs, tolerance, unreportedEndAt: since + windowLeaseMs, sequence: 0, accounts: new Map(), starts: new Map(), earlierCeilings }
+  return { term, windowMs, since, tolerance, unreportedEndAt: since + windowLeaseMs, sequence: 0, accounts: new Map(), starts: new Map(), earlierCeilings }
 }
 
 /**
@@ -149,7 +156,7 @@
   const ceiling = ledger.earlierCeilings?.[workspace] ?? 0
   const unreported = ledger.earlierCeilings === undefined ? capacity : ceiling
   const account = known ?? {
-    capacity, ceiling, shortage: 0, tooHighSince: undefined, raise: { available: capacity * immediateFraction, updatedAt: now }, unreported, holdings: new Map(), endedAllowances: [], sums: { occupied: 0, demand: 0, averageDemand: 0 }, sweptAt: -Infinity
+    capacity, ceiling, shortage: 0, tooHighSince: undefined, raise: { available: capacity * immediateFraction, updatedAt: now }, unreported, holdings: new Map(), endedAllowances: [], sums: { occupied: 0, demand: 0, averageDemand: 0, lenders: 0 }, demandSince: undefined, sweptAt: -Infinity
   }
   if (known === undefined) ledger.accounts.set(workspace, account)
   account.capacity = capacity
@@ -159,7 +166,7 @@
 
 function sweep (ledger: WindowLedger, account: Account, now: number): void {
   account.sweptAt = now
-  const sums: Sums = { occupied: 0, demand: 0, averageDemand: 0 }
+  const sums: Sums = { occupied: 0, demand: 0, averageDemand: 0, lenders: 0 }
   for (const [name, holding] of account.holdings) {
     expire(account, holding, now)
     const isSilent = now - holding.reportedAt > ledger.windowMs
@@ -171,10 +178,12 @@
     sums.occupied += occupancy(holding, now)
     sums.demand += holding.demand
     sums.averageDemand += holding.averageDemand
+    if (holding.isLender) sums.lenders++
   }
   account.endedAllowances = account.endedAllowances.filter(({ allowance, endedAt }) => occupancyAfterEnd(allowance, now - endedAt, ledger.windowMs) > 0)
   for (const { allowance } of account.endedAllowances) sums.occupied += allowance
   account.sums = sums
+  if (sums.demand === 0) account.demandSince = undefined
 }
 
 /** Moves a holding whose lease has expired to the ended allowances. */
@@ -189,7 +198,7 @@
 function holdingOf (account: Account, holder: string): Holding {
   const known = account.holdings.get(holder)
   if (known !== undefined) return known
-  const created: Holding = { outstanding: [], admitted: 0, demand: 0, averageDemand: 0, reportedAt: -Infinity }
+  const created: Holding = { outstanding: [], admitted: 0, demand: 0, averageDemand: 0, reportedAt: -Infinity, isLender: false }
   account.holdings.set(holder, created)
   return created
 }
@@ -214,16 +223,29 @@
   return occupancyAfterEnd(unreported, now - ledger.unreportedEndAt, ledger.windowMs)
 }
 
+/** Returns the requests that demand which has just begun will bring to a whole window beyond what has come, as far as there is plenty. */
+function anticipatedDemand ({ windowMs, since }: WindowLedger, { capacity, demandSince, sums: { demand } }: Account, now: number): number {
+  // A leader that has not been in office for a whole window cannot know when demand began.
+  if (demandSince === undefined || demandSince - since < windowMs || demand < minArrivalsForRate) return 0
+  const elapsedMs = Math.max(windowMs * minRateFraction, now - demandSince)
+  if (elapsedMs >= windowMs) return 0
+  return Math.max(0, Math.min(demand * (windowMs / elapsedMs - 1), capacity * anticipationFraction - demand))
+}
+
 /**
  * Returns a holder's demand plus a part of what is spare. Little is spare, so that the ceiling can be low: a holder that needs more
- * asks for it. If demand exceeds capacity, returns a part of the capacity in proportion to demand.
+ * asks for it. What is spare for each holder would be less than a request where demand is spread over many; where there are lenders, they keep it
+ * for all. If demand exceeds capacity, returns a part of the capacity in proportion to demand.
  */
-function desiredAllowance ({ capacity, holdings, sums: { demand, averageDemand } }: Account, holding: Holding): number {
+function desiredAllowance (ledger: WindowLedger, account: Account, holding: Holding, now: number): number {
+  const { capacity, holdings, sums: { demand, averageDemand, lenders } } = account
   const shared = capacity * (1 - spareWindowFraction)
   if (demand >= shared) return shared * holding.demand / demand
   const spare = Math.min(shared - demand, demand * spareDemandFraction + holdings.size * sparePerHolder)
+  const lent = lenders > 0 ? Math.min(spare, holdings.size * sparePerHolder, (shared - demand) * lentFraction) : 0
   const fraction = averageDemand > 0 ? holding.averageDemand / averageDemand : 0
-  return holding.demand + spare * fraction
+  const kept = holding.isLender ? Math.min(shared - demand, lent + anticipatedDemand(ledger, account, now)) / lenders : 0
+  return holding.demand + (spare - lent) * fraction + kept
 }
 
 /** Returns what a holder whose demand has just begun is expected to need, as far as there is plenty. */
@@ -232,6 +254,13 @@
   return Math.min(expected * (1 + spareDemandFraction) + sparePerHolder, capacity * anticipationFraction - occupied)
 }
 
+/** Returns when a holder should report again, in ms: soon while its requests wait, or while what a lender keeps is not all that it should; otherwise 0. */
+function nextReportMs ({ windowMs }: WindowLedger, { demandSince }: Account, demand: WindowDemand, { allowance, heldBack }: { allowance: number, heldBack: number }, now: number): number {
+  if (demand.waiting > 0 && allowance < demand.admitted + demand.waiting) return heldBack > 0 ? ceilingRetryMs : scarceReportIntervalMs
+  const isYoung = demandSince !== undefined && now - demandSince < windowMs
+  return demand.isLender === true && (heldBack > 0 || isYoung) ? reportIntervalMs : 0
+}
+
 /** Decides a holder's next allowance from its report. */
 export function decideAllowance (ledger: WindowLedger, holder: string, demand: WindowDemand, limit: Limit, now: number): WindowGrant {
   const account = accountOf(ledger, demand.workspace, limit, now)
@@ -240,15 +269,19 @@
   const occupiedByOthers = sums.occupied - occupancy(holding, now)
   sums.demand -= holding.demand
   sums.averageDemand -= holding.averageDemand
+  if (holding.isLender) sums.lenders--
   acknowledge(ledger, account, holding, demand, now)
   holding.admitted = demand.admitted
   holding.demand = demand.arrived
   holding.averageDemand = Math.max(1, holding.averageDemand + averageDemandWeight * (demand.arrived - holding.averageDemand))
   holding.reportedAt = now
+  holding.isLender = demand.isLender === true
   sums.demand += holding.demand
   sums.averageDemand += holding.averageDemand
+  if (holding.isLender) sums.lenders++
+  if (sums.demand > 0) account.demandSince ??= now
   const occupied = occupiedByOthers + unreportedOccupancy(ledger, account, now)
-  const desired = Math.max(desiredAllowance(account, holding), anticipatedAllowance(account, demand, occupied))
+  const desired = Math.max(desiredAllowance(ledger, account, holding, now), anticipatedAllowance(account, demand, occupied))
   const requested = Math.max(desired, demand.admitted + demand.waiting)
   const currentAllowance = holding.outstanding.reduce((highest, { allowance, expiresAt }) => expiresAt > now ? Math.max(highest, allowance) : highest, 0)
   const permitted = Math.min(requested, toleratedCapacity(ledger, account) - occupied)
@@ -260,9 +293,8 @@
   const grant: OutstandingGrant = { sequence: ++ledger.sequence, allowance, expiresAt: now + windowLeaseMs }
   holding.outstanding.push(grant)
   sums.occupied = occupiedByOthers + occupancy(holding, now)
-  const isShort = demand.waiting > 0 && allowance < demand.admitted + demand.waiting
-  const retryMs = heldBack > 0 ? ceilingRetryMs : scarceReportIntervalMs
-  return { workspace: demand.workspace, term: ledger.term, sequence: grant.sequence, allowance, nextMs: isShort ? retryMs : 0, leaseMs: windowLeaseMs }
+  const nextMs = nextReportMs(ledger, account, demand, { allowance, heldBack }, now)
+  return { workspace: demand.workspace, term: ledger.term, sequence: grant.sequence, allowance, nextMs, leaseMs: windowLeaseMs }
 }
 
 /** Returns true when a ceiling holds back what a limit permits. */
--- a/src/core/rate/window-meter.ts
+++ b/src/core/rate/window-meter.ts
@@ -45,6 +45,10 @@
   tokens: number
   tokensAt: number
   waiting: number
+  /** True while this node keeps admissions of the workspace for others. */
+  isLender: boolean
+  /** Time from which the leader wants the next report. */
+  nextReportAt: number
 }
 
 /** Allowances of one node, by workspace, and the requests it has admitted in the last window. */
@@ -90,7 +94,7 @@
 function accountOf (meter: WindowMeter, workspace: string, now: number): Account {
   const known = meter.accounts.get(workspace)
   const account = known ?? {
-    term: -1, sequence: 0, reported: { at: -Infinity, arrived: 0, admitted: 0, sequence: 0, allowance: 0 }, allowance: 0, expiresAt: -Infinity, admitted: createWindowCount(), arrived: createWindowCount(), arrivingSince: now, loans: [], tokens: 0, tokensAt: now, waiting: 0
+    term: -1, sequence: 0, reported: { at: -Infinity, arrived: 0, admitted: 0, sequence: 0, allowance: 0 }, allowance: 0, expiresAt: -Infinity, admitted: createWindowCount(), arrived: createWindowCount(), arrivingSince: now, loans: [], tokens: 0, tokensAt: now, waiting: 0, isLender: false, nextReportAt: Infinity
   }
   if (known === undefined) meter.accounts.set(workspace, account)
   const slice = sliceAt(meter, now)
@@ -111,6 +115,12 @@
   }
 }
 
+/** Sets the workspaces of which this node keeps admissions for others. The leader hears of them without any request here. */
+export function lendWorkspaces (meter: WindowMeter, workspaces: ReadonlySet<string>, now: number): void {
+  for (const workspace of workspaces) accountOf(meter, workspace, now)
+  for (const [workspace, account] of meter.accounts) account.isLender = workspaces.has(workspace)
+}
+
 /** Returns the requests that count as admitted in the last window, loans included. */
 function countedAdmissions ({ admitted, loans }: Account): number {
   return loans.reduce((sum, { count }) => sum + count, admitted.sum)
@@ -218,6 +228,7 @@
   account.sequence = grant.sequence
   account.allowance = grant.allowance
   account.expiresAt = sentAt + grant.leaseMs
+  account.nextReportAt = grant.nextMs > 0 ? sentAt + grant.nextMs : Infinity
   const isTimely = now - sentAt <= tokenTtlMs
   account.tokens = Math.min(burstCapacity(account), account.tokens + (isTimely ? Math.max(0, added) : 0))
   return admitWaitingInWindow(meter, grant.workspace, now)
@@ -238,9 +249,9 @@
  * the demand changed, or the last report is so old that the lease or the leader's view of the demand would run out.
  */
 function isReportDue (account: Account, now: number): boolean {
-  const { reported, sequence, allowance, waiting, arrived } = account
+  const { reported, sequence, allowance, waiting, arrived, nextReportAt } = account
   const admitted = countedAdmissions(account)
-  if (waiting > 0) return true
+  if (waiting > 0 || now >= nextReportAt) return true
   if (sequence !== reported.sequence && allowance < reported.allowance) return true
   const ageMs = now - reported.at
   if (ageMs >= idleReportIntervalMs) return true
@@ -256,7 +267,7 @@
     const account = accountOf(meter, workspace, now)
     const { arrived, allowance, waiting, term, sequence } = account
     const admitted = countedAdmissions(account)
-    const isIdle = allowance === 0 && admitted === 0 && arrived.sum === 0 && waiting === 0
+    const isIdle = !account.isLender && allowance === 0 && admitted === 0 && arrived.sum === 0 && waiting === 0
     if (isIdle && account.reported.sequence === sequence) {
       meter.accounts.delete(workspace)
       continue
@@ -265,7 +276,7 @@
     account.reported = { at: now, arrived: arrived.sum, admitted, sequence, allowance }
     const held = now < account.expiresAt ? { term, sequence, allowance } : undefined
     const expected = expectedArrivals(meter, account, now)
-    demands.push({ workspace, arrived: arrived.sum, admitted, waiting, held, ...(expected === undefined ? {} : { expected }) })
+    demands.push({ workspace, arrived: arrived.sum, admitted, waiting, held, ...(expected === undefined ? {} : { expected }), ...(account.isLender ? { isLender: true } : {}) })
   }
   return demands
 }
--- a/test/rate/closed-client.test.ts
+++ b/test/rate/closed-client.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { systemClock } from '../../src/core/clock/index.ts'
+import { emptyConfiguration } from '../../src/core/config/index.ts'
 import { silentLog } from '../../src/core/log/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
 import type { Peers } from '../../src/core/peers/index.ts'
@@ -19,6 +20,9 @@
   const sent: string[] = []
   const peers = {
     boot: 'a',
+    configuration: emptyConfiguration,
+    members: () => [],
+    self: () => ({ id: 'n', domain: 'a' }),
     freshness: { newest: undefined },
     controlAddresses: () => ['control:1'],
     datagrams: {
@@ -27,7 +31,7 @@
       request: async () => ({ ok: false, reason: 'timeout' })
     }
   } as unknown as Peers
-  const client = createRateClient(peers, meter, { clock: systemClock, random: createRandom(1), log: silentLog, metrics: createMetrics() })
+  const client = createRateClient(peers, meter, { clock: systemClock, random: createRandom(1), log: silentLog, metrics: createMetrics() }, () => 0)
   await new Promise((resolve) => setTimeout(resolve, windowMs))
   assert.notDeepEqual(lend([['w', 1]]), [])
   client.close()
--- a/test/rate/lending.test.ts
+++ b/test/rate/lending.test.ts
@@ -3,6 +3,7 @@
 import { test } from 'node:test'
 import fc from 'fast-check'
 import { systemClock } from '../../src/core/clock/index.ts'
+import { emptyConfiguration } from '../../src/core/config/index.ts'
 import { silentLog } from '../../src/core/log/index.ts'
 import type { Member } from '../../src/core/membership/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
@@ -88,6 +89,7 @@
     boot: 'a',
     freshness: { newest: undefined },
     self: () => self,
+    configuration: emptyConfiguration,
     members: () => [self, createMember('b', 'a')],
     controlAddresses: () => ['control:1'],
     datagrams: {
@@ -96,7 +98,7 @@
       request: async (_address: string, method: string, params: RequestCounts) => method === 'rate.borrow' ? { ok: true, value: await answer(params) } : { ok: false, reason: 'timeout' }
     }
   } as unknown as Peers
-  return createRateClient(peers, meter, { clock: systemClock, random: createRandom(1), log: silentLog, metrics: createMetrics() })
+  return createRateClient(peers, meter, { clock: systemClock, random: createRandom(1), log: silentLog, metrics: createMetrics() }, () => 0)
 }
 
 test('a node that no leader answers admits what another node lends, and no more', async () => {
--- a/test/rate/window-fleet.ts
+++ b/test/rate/window-fleet.ts
@@ -1,5 +1,5 @@
 import {
-  acceptWindowGrant, admitBorrowedInWindow, borrowIntervalMs, borrowTtlMs, confirmCeilings, lendFromWindow, leaderlessAfterMs, leaderlessWaitMs, lendersInDomain, isCeilingShort, planCeilings, takeoverReportMs, createWindowLedger, createWindowMeter, decideAllowance, refundToWindow, returnAllowance, removeWaitingInWindow, recordProcessStart, releaseWindowHolder, reportIntervalMs,
+  acceptWindowGrant, admitBorrowedInWindow, borrowIntervalMs, borrowTtlMs, confirmCeilings, lendFromWindow, leaderlessAfterMs, leaderlessWaitMs, lendersInDomain, isCeilingShort, planCeilings, takeoverReportMs, createWindowLedger, createWindowMeter, decideAllowance, lendWorkspaces, refundToWindow, returnAllowance, removeWaitingInWindow, recordProcessStart, releaseWindowHolder, reportIntervalMs,
   endWindowTakeover, admitWaitingInWindow, admitInWindow, tokenWaitMs, urgentReportIntervalMs, collectWindowDemands
 } from '../../src/core/rate/index.ts'
 import type { Limit, Tolerance, WindowGrant, WindowLedger, WindowMeter } from '../../src/core/rate/index.ts'
@@ -54,11 +54,13 @@
   peak: () => number
 }
 
-/** Creates a fleet with a leader. */
-export function createWindowFleet (size: number, limit: Limit, windowMs: number, seed: number, tolerance?: Tolerance): WindowFleet {
+/** Creates a fleet with a leader. The first `lenderCount` nodes keep admissions for the others. */
+export function createWindowFleet (size: number, limit: Limit, windowMs: number, seed: number, tolerance?: Tolerance, lenderCount = 4): WindowFleet {
   const random = createRandom(seed)
   const nodes: FleetNode[] = Array.from({ length: size }, (_, index) => ({ boot: `n${index}`, meter: createWindowMeter(windowMs), waiting: [], unansweredSince: undefined, lenders: [], borrowAt: 0, reportAt: 0, startedAt: 0, reportedTerm: 0 }))
   let deliveries: Array<{ node: FleetNode, boot: string, grant: WindowGrant, sentAt: number, dueAt: number }> = []
+  let now = 0
+  const setLender = (node: FleetNode) => lendWorkspaces(node.meter, new Set(nodes.indexOf(node) < lenderCount ? [workspace] : []), now)
   let ledger: WindowLedger | undefined = createWindowLedger(1, windowMs, 0, tolerance)
   /** Ceilings that are durable, and those on their way to the disks. */
   let durable: Record<string, number> | undefined
@@ -71,7 +73,6 @@
   let cut: readonly number[] = []
   let loss = 0
   let maxDelayMs = 2
-  let now = 0
   let refused = 0
   let total = 0
   let peak = 0
@@ -94,7 +95,9 @@
   const borrow = (node: FleetNode) => {
     if (now < node.borrowAt || now - (node.unansweredSince ?? now) <= leaderlessAfterMs) return
     if (node.lenders.length === 0) {
-      node.lenders = sample(random, nodes.filter((candidate) => candidate !== node), lendersInDomain)
+      const lenders = sample(random, nodes.slice(0, lenderCount).filter((candidate) => candidate !== node), lenderCount)
+      const others = sample(random, nodes.filter((candidate) => candidate !== node && !lenders.includes(candidate)), lendersInDomain)
+      node.lenders = [...lenders, ...others].reverse()
       node.borrowAt = now + borrowIntervalMs
     }
     const lender = node.lenders.pop()
@@ -172,7 +175,9 @@
     completeSince = Infinity
     refused += node.waiting.length
     Object.assign(node, { boot: `${node.boot}'`, meter: createWindowMeter(windowMs), waiting: [], unansweredSince: undefined, lenders: [], borrowAt: 0, startedAt: now, reportedTerm: 0 })
+    setLender(node)
   }
+  nodes.forEach(setLender)
   return {
     now: () => now,
     arrive (index) {
