Placement: the load of a node's event loop is taken back

Suspected cause: the larger of two loads hides slots that are nearly full behind event loops that are busy.

--- a/src/core/node/node.ts
+++ b/src/core/node/node.ts
@@ -146,7 +146,7 @@
   const findKeyFailure = createKeyCheck(peers, clock, { configuredBy: dialect.configuredBy, strict: strictKeys })
   const crashes = createCrashReporter(peers, target, environment)
   const mayBegin = (request: StoppingRequest) => beginsDuring(stop, request, clock.now())
-  const server = createCallServer({ dialect, findKeyFailure, mayBegin, dependencies, reportedFractions, roomShares, ownFailures, processorLoad: roomPlacement ? processor.load : undefined, rankedWaiting, peers, target, claims, crashes, spans, decisions, environment })
+  const server = createCallServer({ dialect, findKeyFailure, mayBegin, dependencies, reportedFractions, roomShares, ownFailures, rankedWaiting, peers, target, claims, crashes, spans, decisions, environment })
   const forwarder = createForwarder(peers, environment)
   peers.onMemberChange((member) => {
     if (member.status !== 'alive') forwarder.probeNode(member.address)
--- a/src/core/node/serve.ts
+++ b/src/core/node/serve.ts
@@ -75,8 +75,6 @@
   roomShares?: RoomShares
   /** Failures of the node's own target; undefined where they are not stated. */
   ownFailures?: OwnFailures
-  /** Load of the node's own event loop; undefined where it is not stated. */
-  processorLoad?: () => number
   /** Whether requests wait by the rank of the caller's request that they belong to. Targets then report a fraction for each priority. Default: false. */
   rankedWaiting?: boolean
   decisions: Decisions
@@ -127,7 +125,7 @@
 
 /** Creates the part of a node that serves calls with its own target. */
 export function createCallServer (context: ServeContext): CallServer {
-  const { dialect, findKeyFailure, mayBegin, peers, target, claims, crashes, spans, dependencies, reportedFractions, roomShares, ownFailures, processorLoad = () => 0, rankedWaiting = false, decisions, environment } = context
+  const { dialect, findKeyFailure, mayBegin, peers, target, claims, crashes, spans, dependencies, reportedFractions, roomShares, ownFailures, rankedWaiting = false, decisions, environment } = context
   const { clock, metrics } = environment
   const suspectQueue = createSerialQueue()
   const refusedIds = createRefusedIds(clock)
@@ -149,8 +147,6 @@
     const needed = callees.map((callee) => reportedFraction(callee, priority, now))
     return Math.round(1000 * Math.min(target.gate.admissionFraction(priority, needed.length > 0), ...needed)) / 1000
   }
-  /** Returns the load for which others place their calls: that of the target or, where it is higher, of this node's processor, through which all calls to the target pass. */
-  const statedLoad = () => Math.max(target.gate.load(), processorLoad())
   /** Returns what this node states about the failures of its target. */
   const failureStatement = (): Pick<Report, 'ownFailures'> => {
     const fraction = ownFailures?.fraction()
@@ -165,11 +161,11 @@
     return { room: gate.room(), ...statedMs, ...failureStatement() }
   }
   const createReport = (call: Call, span?: Span): Report => ({
-    used: span?.budget.used ?? 0, load: statedLoad(), shed: span?.shed ?? false, share: statedShare(call.context), ...targetStatement(call)
+    used: span?.budget.used ?? 0, load: target.gate.load(), shed: span?.shed ?? false, share: statedShare(call.context), ...targetStatement(call)
   })
   const createRefusal = (call: Call, failure: Failure, elsewhere: boolean, arrived = false): AttemptOutcome => {
     const shed = failure.code === 'overloaded' || arrived
-    return { type: 'refused', failure, elsewhere, arrived, report: { ...emptyReport, load: statedLoad(), shed, share: statedShare(call.context), ...targetStatement(call) } }
+    return { type: 'refused', failure, elsewhere, arrived, report: { ...emptyReport, load: target.gate.load(), shed, share: statedShare(call.context), ...targetStatement(call) } }
   }
   const createFailure = (call: Call, failure: Failure, crashed: boolean, span?: Span): AttemptOutcome => ({ type: 'failed', failure, crashed, report: createReport(call, span) })
 
--- a/src/core/processor/meter.ts
+++ b/src/core/processor/meter.ts
@@ -2,7 +2,6 @@
 import { createEventWriter, processorEvents } from '../log/index.ts'
 import type { Log } from '../log/index.ts'
 import type { Metrics } from '../metrics/index.ts'
-import { createLoopLoad, recordLoopUse, statedLoopLoad } from './load.ts'
 import { checkIntervalMs, loggedUtilization, reportIntervalMs } from './constants.ts'
 
 /** What the event loop shows of the processor time that this process has. */
@@ -16,8 +15,6 @@
 /** Measures the processor time of a process by its event loop. */
 export interface ProcessorMeter {
   read: () => ProcessorReading
-  /** Returns the load of the event loop: 0 while it has time to spare, 1 when it is always busy, more when it is late. */
-  load: () => number
   close: () => void
 }
 
@@ -57,7 +54,6 @@
   let largestLatenessMs = 0
   let reported = { at: clock.now(), busyMs: readBusyMs(), counts: readCounts() }
   let utilization = 0
-  const loopLoad = createLoopLoad(readBusyMs(), clock.now())
   const report = (now: number) => {
     const elapsedMs = now - reported.at
     if (elapsedMs < reportIntervalMs) return
@@ -77,7 +73,6 @@
     lastLatenessMs = Math.max(0, now - dueAt)
     largestLatenessMs = Math.max(largestLatenessMs, lastLatenessMs)
     metrics.time('event_loop_lateness', lastLatenessMs)
-    recordLoopUse(loopLoad, readBusyMs(), now)
     report(now)
     dueAt = now + checkIntervalMs
     timer = setTimeout(check, checkIntervalMs).unref()
@@ -86,7 +81,6 @@
   metrics.gauge('event_loop_utilization', () => utilization)
   return {
     read: () => ({ busyMs: readBusyMs(), latenessMs: Math.max(lastLatenessMs, clock.now() - dueAt) }),
-    load: () => statedLoopLoad(loopLoad, lastLatenessMs),
     close: () => clearTimeout(timer)
   }
 }
