Placement: a failing domain beyond its room counts with its load at least

Found by reading the diff: the load of a domain whose best target fails was 1 - part × (1 - load), which for a load above 1 is less than the load itself, so that an overloaded failing target could be preferred to a healthy one at 1.5. Change: never less than the load. test/routing/failing.test.ts, the new test failed before (calls to the failing target) and passes now; test/routing 37 of 37.

--- a/src/core/routing/placement.ts
+++ b/src/core/routing/placement.ts
@@ -74,7 +74,7 @@
 
 /** Returns the load at which a failure domain counts whose best target should get `successPart` of its usual calls: what that target fails is no free room. */
 export function effectiveLoad (load: number, successPart: number): number {
-  return 1 - successPart * (1 - load)
+  return Math.max(load, 1 - successPart * (1 - load))
 }
 
 function sumOf (values: readonly number[]): number {
--- a/test/routing/failing.test.ts
+++ b/test/routing/failing.test.ts
@@ -131,6 +131,16 @@
   })
 }
 
+test('a failing target of a domain that is loaded beyond its room is not taken for a less loaded one', () => {
+  const statsByNode = createTargetStats()
+  const candidates = ['a-1', 'b-1', 'c-1'].map((node) => ({ node, domain: node.split('-')[0], slots }))
+  for (const [node, load] of [['a-1', 2], ['b-1', 1.5], ['c-1', 1.5]] as const) recordAnswer(statsOf(statsByNode, node), workMs, load, 0)
+  recordStatedFailures(statsOf(statsByNode, 'a-1').statedFailures, 0.25, 0)
+  const random = createRandom(1)
+  const chosen = Array.from({ length: 100 }, () => chooseTarget(statsByNode, candidates, 'a', 1, random)?.node)
+  assert.ok(!chosen.includes('a-1'))
+})
+
 test('targets that all fail alike get the same calls as without statements', () => {
   const partsOf = (statesFailures: boolean) => {
     const answers = run(names.map((name) => createTarget(name, () => 0.5)), { ...oneDomain, untilMs: 6000, statesFailures })
