Rates: a lender whose requests wait reports at once

Cause: the leader asks a lender of young demand for its next report after 250 ms, and the client took that for the time until waiting requests may get a token: requests that came during a report waited 120 ms, and the next report went out after 393 ms (trace of the leader's decisions).

--- a/src/core/rate/client.ts
+++ b/src/core/rate/client.ts
@@ -17,6 +17,11 @@
 /** Shortest interval between two searches for the workspaces that this node lends, in milliseconds. Each hashes all workspaces for all nodes. */
 const lenderCheckMs = 1000
 
+/** Returns true where the next report is due for what this node keeps for others, and not for requests that wait. */
+function isLenderInterval (grant: AnyGrant): boolean {
+  return 'allowance' in grant && grant.nextMs >= reportIntervalMs
+}
+
 /** How a request was admitted: counted at this node, or counted at another one that lent the admission; refused if beyond the rate. */
 export type Admission = 'counted' | 'borrowed' | 'refused'
 
@@ -110,7 +115,7 @@
     await Promise.all(batches.map(async (batch) => {
       const grants = await sendReport(batch)
       for (const grant of grants) admitWaiters(grant.workspace, meter.accept(grant, sentAt, clock.now()))
-      const tokenWaitsMs = grants.filter(({ workspace }) => waiters.has(workspace)).map(({ nextMs }) => nextMs).filter((ms) => ms > 0)
+      const tokenWaitsMs = grants.filter((grant) => grant.nextMs > 0 && !isLenderInterval(grant)).map(({ nextMs }) => nextMs)
       if (tokenWaitsMs.length > 0) urgentIntervalMs = Math.max(urgentReportIntervalMs, Math.min(...tokenWaitsMs))
     }))
   }
--- a/test/rate/lenders.test.ts
+++ b/test/rate/lenders.test.ts
@@ -1,8 +1,15 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { systemClock } from '../../src/core/clock/index.ts'
+import { emptyConfiguration } from '../../src/core/config/index.ts'
 import { loadHash } from '../../src/core/hash/index.ts'
+import { silentLog } from '../../src/core/log/index.ts'
 import type { Member } from '../../src/core/membership/index.ts'
+import { createMetrics } from '../../src/core/metrics/index.ts'
+import type { Peers } from '../../src/core/peers/index.ts'
 import { createRandom } from '../../src/core/random/index.ts'
+import { createRateClient } from '../../src/core/rate/client.ts'
+import { createMeter, encodeGrants, reportIntervalMs, windowLeaseMs } from '../../src/core/rate/index.ts'
 import { createLenders, lendingNodes } from '../../src/core/rate/lenders.ts'
 import { chooseLenders } from '../../src/core/rate/lending.ts'
 import { createWindowFleet } from './window-fleet.ts'
@@ -56,6 +63,33 @@
   })
 }
 
+test('requests that wait at a lender are reported at once, whatever the leader said of its next report', async () => {
+  const reportedAt: number[] = []
+  const self = createMember('a0', 'a')
+  const peers = {
+    boot: 'a0',
+    freshness: { newest: undefined },
+    configuration: emptyConfiguration,
+    members: () => [self],
+    self: () => self,
+    controlAddresses: () => ['control:1'],
+    datagrams: {
+      method () {},
+      notify () {},
+      async request () {
+        reportedAt.push(systemClock.now())
+        return { ok: true, value: encodeGrants([{ workspace: 'w', term: 1, sequence: reportedAt.length, allowance: 1, nextMs: reportIntervalMs, leaseMs: windowLeaseMs }]) }
+      }
+    }
+  } as unknown as Peers
+  const client = createRateClient(peers, createMeter(windowMs), { clock: systemClock, random: createRandom(1), log: silentLog, metrics: createMetrics() }, () => 0)
+  assert.equal(await client.admit('w'), 'counted')
+  const reports = reportedAt.length
+  assert.equal(await client.admit('w'), 'refused')
+  client.close()
+  assert.ok(reportedAt.length >= reports + 2, `${reportedAt.length - reports} reports while a request waited`)
+})
+
 test('a workspace has one lender in each failure domain, whatever the order of the members, and the workspaces are spread', async () => {
   const hash = await loadHash()
   const lenders = createLenders(lendingNodes(members), hash)
