Placement: the mend for a failing target that is the only one of its domain is taken back

Suspected cause: the calls of its domain go to nodes that have no processor time left, and hold slots of the services before them.

--- a/src/core/routing/choice.ts
+++ b/src/core/routing/choice.ts
@@ -1,7 +1,7 @@
 import type { Random } from '../random/index.ts'
 import { createStatedFailures, isFailing, isProbeDue, statedFractionOf, weighFailures } from './failing.ts'
 import type { StatedFailures } from './failing.ts'
-import { effectiveLoad, weighPlaces } from './placement.ts'
+import { weighPlaces } from './placement.ts'
 import type { PlaceWeight } from './placement.ts'
 import { createStatements, statementOf } from './statements.ts'
 import type { Statements } from './statements.ts'
@@ -301,9 +301,10 @@
 ): Candidate | undefined {
   const local = available.filter((candidate) => candidate.domain === ownDomain)
   const bestLocal = betterOfTwo(statsByNode, successParts, local, now, random)
-  const loadOf = (candidate: Candidate) => effectiveLoad(currentLoad(statsOf(statsByNode, candidate.node), candidate, now), successParts.get(candidate.node) ?? 1)
-  if (bestLocal !== undefined && loadOf(bestLocal) < overflowLoad) return bestLocal
+  if (bestLocal !== undefined && currentLoad(statsOf(statsByNode, bestLocal.node), bestLocal, now) < overflowLoad) return bestLocal
   const bestRemote = betterOfTwo(statsByNode, successParts, available.filter((candidate) => candidate.domain !== ownDomain), now, random)
   if (bestLocal === undefined || bestRemote === undefined) return bestLocal ?? bestRemote
-  return loadOf(bestRemote) < loadOf(bestLocal) ? bestRemote : bestLocal
+  const localLoad = currentLoad(statsOf(statsByNode, bestLocal.node), bestLocal, now)
+  const remoteLoad = currentLoad(statsOf(statsByNode, bestRemote.node), bestRemote, now)
+  return remoteLoad < localLoad ? bestRemote : bestLocal
 }
--- a/src/core/routing/placement.ts
+++ b/src/core/routing/placement.ts
@@ -72,19 +72,14 @@
   return workMs < shortMs ? rise(domainLoad, shortOverflowFrom, shortOverflowUntil) : rise(domainLoad, overflowFrom, overflowUntil)
 }
 
-/** Returns the load at which a failure domain counts whose best target should get `successPart` of its usual calls: what that target fails is no free room. */
-export function effectiveLoad (load: number, successPart: number): number {
-  return Math.max(load, 1 - successPart * (1 - load))
-}
-
 function sumOf (values: readonly number[]): number {
   return values.reduce((sum, value) => sum + value, 0)
 }
 
 /**
  * Weighs targets of one service for one callee: by what each completes in a time, times the free part of its room. The own failure domain comes first.
- * As its load nears the knee, or all of its targets fail requests, a growing part of the calls goes to all targets, where those elsewhere count as far as
- * they have more free room. Returns undefined when no target has stated anything.
+ * As its load nears the knee, a growing part of the calls goes to all targets, where those elsewhere count as far as they have more free room. Returns
+ * undefined when no target has stated anything.
  */
 export function weighPlaces (places: readonly Place[]): PlaceWeight[] | undefined {
   const meanMs = meanWorkMs(places)
@@ -99,8 +94,7 @@
   const leastLoad = known.reduce((least, { load }) => Math.min(least, load), Infinity)
   const local = known.filter((_, index) => places[index].isLocal)
   const localRoom = sumOf(local.map(({ room }) => room))
-  const bestSuccessPart = places.reduce((best, { isLocal, successPart }) => isLocal ? Math.max(best, successPart) : best, 0)
-  const domainLoad = localRoom > 0 ? effectiveLoad(sumOf(local.map(({ room, load }) => room * load)) / localRoom, bestSuccessPart) : Infinity
+  const domainLoad = localRoom > 0 ? sumOf(local.map(({ room, load }) => room * load)) / localRoom : Infinity
   const leaving = localRoom > 0 ? leavingPart(domainLoad, meanMs) : 1
   const rates = known.map(({ room, workMs, load }, index) => {
     const { isLocal, silence, successPart } = places[index]
